--- a/modules/entry_gateway/http_message.cc
+++ b/modules/entry_gateway/http_message.cc
@@ -56,6 +56,7 @@
 }
 
 std::string SerializeRequestHeader(const http_request& request,
+                                   std::size_t body_bytes,
                                    const std::vector<http_header>& changed) {
   http::fields fields = request.base();
   RemoveHopByHopHeaders(fields);
@@ -76,8 +77,8 @@
     Append(text, each.name, each.value);
   const bool usually_has_body = request.method() != http::verb::get &&
                                 request.method() != http::verb::head;
-  if (!request.body().empty() || usually_has_body)
-    Append(text, "Content-Length", std::to_string(request.body().size()));
+  if (body_bytes > 0 || usually_has_body)
+    Append(text, "Content-Length", std::to_string(body_bytes));
   text += "\r\n";
   return text;
 }
--- a/modules/entry_gateway/http_message.h
+++ b/modules/entry_gateway/http_message.h
@@ -18,9 +18,10 @@
 // names included.
 void RemoveHopByHopHeaders(http::fields& fields);
 
-// Returns the request line and headers, with the empty line. `changed` headers
-// replace those of the same name.
+// Returns the request line and headers, with the empty line, for a body of
+// `body_bytes`. `changed` headers replace those of the same name.
 std::string SerializeRequestHeader(const http_request& request,
+                                   std::size_t body_bytes,
                                    const std::vector<http_header>& changed);
 
 // Returns the whole response. An answer to HEAD keeps its length and has no
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -100,12 +100,11 @@
 std::string request_run::MakeHeader(const slot_grant& grant) const {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       plan_.deadline - event_loop::Now());
-  http_request head(request_.message.base());
-  std::string text = SerializeRequestHeader(
-      head, {{services_.headers->time_left,
-              std::to_string(std::max<std::int64_t>(left.count(), 1))},
-             {services_.headers->expected_endpoint, grant.endpoint.id}});
-  return text;
+  return SerializeRequestHeader(
+      request_.message, body_->size(),
+      {{services_.headers->time_left,
+        std::to_string(std::max<std::int64_t>(left.count(), 1))},
+       {services_.headers->expected_endpoint, grant.endpoint.id}});
 }
 
 void request_run::OnGranted(const slot_grant& grant) {
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -21,7 +21,7 @@
 constexpr time_span kAnswerTimeout = std::chrono::seconds(2);
 
 // Changes come in groups; one call reads those of this time together.
-constexpr time_span kGatherTime = std::chrono::milliseconds(150);
+constexpr time_span kGatherTime = std::chrono::milliseconds(400);
 
 // Wait after a failure; doubles with each failure in a row up to the limit.
 constexpr time_span kFirstWait = std::chrono::milliseconds(100);
