--- a/modules/http/http_fetch.cc
+++ b/modules/http/http_fetch.cc
@@ -1,6 +1,7 @@
 // One request, one answer, one connection.
 #include "modules/http/http_fetch.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -35,7 +36,7 @@
       });
       return;
     }
-    stream_.expires_after(request_.timeout);
+    stream_.expires_after(std::min(request_.connect_timeout, request_.timeout));
     stream_.async_connect(
         boost::asio::ip::tcp::endpoint(host, request_.server.port),
         [self = shared_from_this()](
@@ -54,6 +55,7 @@
     request_.request.keep_alive(false);
     request_.request.prepare_payload();
     parser_.body_limit(request_.max_answer_bytes);
+    stream_.expires_after(request_.timeout);
     http::async_write(stream_, request_.request,
                       [self = shared_from_this()](
                           const boost::system::error_code& error, std::size_t) {
--- a/modules/http/http_fetch.h
+++ b/modules/http/http_fetch.h
@@ -30,7 +30,11 @@
 struct fetch_request {
   network_address server;
   http_request request;
+  // For the answer, once the connection is open.
   time_span timeout = std::chrono::seconds(5);
+  // A lost opening packet is sent again after seconds, so that a new try is
+  // faster than waiting.
+  time_span connect_timeout = std::chrono::seconds(1);
   std::size_t max_answer_bytes = 1 << 20;
 };
 
