Judge at arrival whether a request can meet its goal

Requests that cannot be in time go to a late tier that gets spare slots, are refused at once when that takes too long, and no request takes the last slot of an endpoint where it would miss its goal. Limits that callers send tell how long they have waited before.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -19,10 +19,6 @@
 // A report older than this says nothing about the slots in use.
 constexpr time_span kSlotReportLimit = std::chrono::milliseconds(60);
 
-// Endpoints slow down when they are nearly full; the attempts that already run
-// there slow down too, which the factor includes.
-constexpr double kNearlyFullFactor = 2.0;
-
 // An endpoint that has just started takes about twice the time.
 constexpr double kColdFactor = 2.0;
 
@@ -95,17 +91,26 @@
 void endpoint_slots::Start(std::uint64_t attempt,
                            time_span expected,
                            monotonic_time now) {
-  running_[attempt] = {now, std::max(expected, time_span(1))};
+  const bool is_crowded = IsNearlyFull(now);
+  for (auto& [id, other] : running_)
+    other.was_crowded |= is_crowded;
+  running_[attempt] = {now, std::max(expected, time_span(1)), is_crowded};
+}
+
+bool endpoint_slots::IsNearlyFull(monotonic_time now) const {
+  return entry_.slots > 1 && Busy(now) + 1 >= entry_.slots;
 }
 
-std::optional<time_span> endpoint_slots::End(std::uint64_t attempt,
-                                             attempt_outcome outcome,
-                                             time_span expected,
-                                             monotonic_time now) {
+std::optional<endpoint_slots::ended_attempt> endpoint_slots::End(
+    std::uint64_t attempt,
+    attempt_outcome outcome,
+    time_span expected,
+    monotonic_time now) {
   const auto found = running_.find(attempt);
   if (found == running_.end())
     return std::nullopt;
   const time_span elapsed = now - found->second.started;
+  const ended_attempt ended{elapsed, found->second.was_crowded};
   if (found->second.started < load_asked_at_)
     ++ended_since_load_;
   running_.erase(found);
@@ -117,20 +122,20 @@
   }
   if (is_failure) {
     OnFailure(outcome, now);
-    return elapsed;
+    return ended;
   }
   // A cancelled attempt took at least this long.
   const double ratio =
       ToMilliseconds(elapsed) / std::max(ToMilliseconds(expected), 1.0);
   if (outcome == attempt_outcome::kCancelled && ratio < kStraggleFrom)
-    return elapsed;
+    return ended;
   if (outcome == attempt_outcome::kAnswered)
     failures_in_row_ = 0;
   const double observed = std::clamp(ratio / kUsualSlowdown, 1.0, kMaxSlowdown);
   observed_slowdown_ = Straggling(now);
   observed_slowdown_ += kObservedWeight * (observed - observed_slowdown_);
   observed_at_ = now;
-  return elapsed;
+  return ended;
 }
 
 void endpoint_slots::OnFailure(attempt_outcome outcome, monotonic_time now) {
@@ -200,6 +205,7 @@
 }
 
 time_span endpoint_slots::ExpectedTime(time_span work,
+                                       double crowding,
                                        monotonic_time now) const {
   const double age = std::min(ToMilliseconds(ReportAge(now)), 1e6);
   const double kept = std::exp(-age / ToMilliseconds(kSlowPhase));
@@ -213,9 +219,8 @@
         std::min(expected, ToMilliseconds(work) +
                                (1 - 1 / factor) * ToMilliseconds(kSlowPhase));
   }
-  const bool is_nearly_full = entry_.slots > 1 && Busy(now) + 1 >= entry_.slots;
-  if (is_nearly_full)
-    expected *= kNearlyFullFactor;
+  if (IsNearlyFull(now))
+    expected *= crowding;
   if (now < warm_at_)
     expected *= kColdFactor;
   expected *= Straggling(now);
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -37,12 +37,16 @@
   int FreeSlots(monotonic_time now) const;
 
   void Start(std::uint64_t attempt, time_span expected, monotonic_time now);
-  // Ends an attempt; `expected` is the usual time of its class. Returns how
-  // long it ran, or nothing when it is unknown.
-  std::optional<time_span> End(std::uint64_t attempt,
-                               attempt_outcome outcome,
-                               time_span expected,
-                               monotonic_time now);
+  struct ended_attempt {
+    time_span elapsed{0};
+    bool was_crowded = false;  // It shared the endpoint's last slot.
+  };
+  // Ends an attempt; `expected` is the usual time of its class. Returns nothing
+  // when the attempt is unknown.
+  std::optional<ended_attempt> End(std::uint64_t attempt,
+                                   attempt_outcome outcome,
+                                   time_span expected,
+                                   monotonic_time now);
 
   // A probe was sent; `TryProbe` first asks the budget.
   bool TryProbe(monotonic_time now);
@@ -55,13 +59,20 @@
   // How old the newest report is.
   time_span ReportAge(monotonic_time now) const;
 
+  // Whether one more attempt would fill the endpoint.
+  bool IsNearlyFull(monotonic_time now) const;
+
   // Expected time of one more attempt of usual time `work` that starts now.
-  time_span ExpectedTime(time_span work, monotonic_time now) const;
+  // On an endpoint that it fills, work takes `crowding` times as long.
+  time_span ExpectedTime(time_span work,
+                         double crowding,
+                         monotonic_time now) const;
 
  private:
   struct running_attempt {
     monotonic_time started;
     time_span expected{1};
+    bool was_crowded = false;
   };
 
   double Straggling(monotonic_time now) const;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -2,6 +2,7 @@
 #include "servers/scheduling/slot_scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace papayakeel {
@@ -48,9 +49,27 @@
 // still worth starting.
 constexpr double kLeastWork = 0.7;
 
-// A request whose expected wait is above this share of its remaining time is
-// refused at once.
-constexpr double kWaitShare = 0.5;
+// Time beyond the usual time of the work that is kept for a slow endpoint when
+// it is judged whether a request can still meet its goal.
+constexpr double kGoalMargin = 1.25;
+
+// A request that cannot meet its goal waits for spare slots at most this share
+// of the time that its caller has left; beyond that it is refused at once.
+constexpr double kLateWaitShare = 0.3;
+// Share of the service rate that late requests are assumed to get at first,
+// and the memory of what they do get.
+constexpr double kFirstLateShare = 0.15;
+constexpr time_span kLateRateMemory = std::chrono::seconds(2);
+
+// Callers heed a Retry-After up to a third of the time that they have left.
+constexpr int kHeededDivisor = 3;
+
+// Bounds of how much longer work takes on an endpoint whose last slot it took,
+// and what is assumed before it was seen. Scale for the ratios.
+constexpr double kLeastCrowding = 1.1;
+constexpr double kMostCrowding = 2.5;
+constexpr time_span kRatioUnit = std::chrono::seconds(1);
+constexpr time_span kFirstCrowdedRatio = std::chrono::milliseconds(1700);
 
 // Bounds of the time after which a refused caller is told to come back.
 constexpr time_span kShortestRetryAfter = std::chrono::milliseconds(100);
@@ -70,6 +89,15 @@
 constexpr time_span kOverdueTime = std::chrono::milliseconds(500);
 constexpr time_span kSweepInterval = std::chrono::milliseconds(250);
 
+// Tiers of the queue.
+constexpr int kTimelyTier = 0;
+constexpr int kLateTier = 1;
+constexpr int kHedgeTier = 2;
+
+time_span Scale(time_span span, double factor) {
+  return std::chrono::duration_cast<time_span>(span * factor);
+}
+
 }  // namespace
 
 slot_scheduler::slot_scheduler(slot_settings settings,
@@ -79,6 +107,8 @@
       hooks_(std::move(hooks)),
       random_(std::move(random)),
       holding_time_(std::chrono::milliseconds(150)),
+      alone_ratio_(kRatioUnit),
+      crowded_ratio_(kFirstCrowdedRatio),
       repeats_(settings_.repeats),
       // Attempt numbers of different owners must not meet.
       next_attempt_(random_() >> 8) {}
@@ -121,22 +151,21 @@
   if (record.attempts >= request.max_attempts ||
       (is_repeat && !repeats_.CanRepeat(now))) {
     return Reject(request.key, slot_refusal::kAttemptsFailed,
-                  RetryAfter(time_span(0)));
+                  RetryAfter(request, time_span(0), now));
   }
   if (!HasUsableEndpoint()) {
     return Reject(request.key, slot_refusal::kNoEndpoint,
-                  RetryAfter(kNoEndpointRetryAfter));
+                  RetryAfter(request, kNoEndpointRetryAfter, now));
   }
+  const time_span left = request.deadline - now;
+  if (left <= Scale(WorkOf(request), kLeastWork))
+    return Reject(request.key, slot_refusal::kDeadline, time_span(0));
   Enqueue(record, false, now);
   const queue_key position = queue_keys_.at(request.key);
-  const time_span wait = ExpectedWait(position.tier, position.due, now);
-  const time_span left =
-      request.deadline - now -
-      std::chrono::duration_cast<time_span>(WorkOf(request) * kLeastWork);
-  if (left <= time_span(0))
-    return Reject(request.key, slot_refusal::kDeadline, time_span(0));
-  if (wait > std::chrono::duration_cast<time_span>(left * kWaitShare)) {
-    return Reject(request.key, slot_refusal::kOverload, RetryAfter(wait));
+  const time_span wait = ExpectedWait(position, now);
+  if (position.tier == kLateTier && wait > Scale(left, kLateWaitShare)) {
+    return Reject(request.key, slot_refusal::kOverload,
+                  RetryAfter(request, wait, now));
   }
   Pump(now);
 }
@@ -175,15 +204,20 @@
   const auto endpoint = endpoints_.find(running->second.endpoint_id);
   record.running.erase(running);
   if (endpoint != endpoints_.end()) {
-    const std::optional<time_span> elapsed =
+    const std::optional<endpoint_slots::ended_attempt> ended =
         endpoint->second.End(attempt, outcome, work, now);
     if (load)
       endpoint->second.ApplyLoad(*load, now);
-    if (elapsed && outcome == attempt_outcome::kAnswered) {
+    if (ended && outcome == attempt_outcome::kAnswered) {
       const auto estimate = estimates_.find(record.request.work_class);
-      if (estimate != estimates_.end())
-        estimate->second.Add(*elapsed);
-      holding_time_.Add(*elapsed);
+      const bool counts = !ended->was_crowded && estimate != estimates_.end();
+      if (counts)
+        estimate->second.Add(ended->elapsed);
+      holding_time_.Add(ended->elapsed);
+      const double ratio =
+          ToMilliseconds(ended->elapsed) / std::max(ToMilliseconds(work), 1.0);
+      (ended->was_crowded ? crowded_ratio_ : alone_ratio_)
+          .Add(Scale(kRatioUnit, ratio));
     }
   }
   if (outcome == attempt_outcome::kAnswered ||
@@ -201,7 +235,8 @@
                           record.attempts < record.request.max_attempts &&
                           (!was_sent || repeats_.CanRepeat(now));
   if (!is_allowed) {
-    Reject(key, slot_refusal::kAttemptsFailed, RetryAfter(time_span(0)));
+    const time_span retry_after = RetryAfter(record.request, time_span(0), now);
+    Reject(key, slot_refusal::kAttemptsFailed, retry_after);
     Pump(now);
     return;
   }
@@ -274,7 +309,7 @@
     request_record& record = *each->second;
     // Place may remove the entry.
     ++each;
-    if (Place(record, now) == placing::kNoSlot && record.tried.empty())
+    if (Place(record, now) == placing::kFull)
       break;
   }
   if (!waiting_.empty()) {
@@ -286,6 +321,8 @@
 
 slot_scheduler::placing slot_scheduler::Place(request_record& record,
                                               monotonic_time now) {
+  if (!HasFreeSlot(now))
+    return placing::kFull;
   const std::vector<endpoint_slots*> candidates = Candidates(record, now);
   if (candidates.empty())
     return placing::kNoSlot;
@@ -301,7 +338,7 @@
         return Cost(record, *left, now) < Cost(record, *right, now);
       });
   const bool is_fresh = best.ReportAge(now) <= kFreshReport;
-  const double ratio = ToMilliseconds(best.ExpectedTime(work, now)) /
+  const double ratio = ToMilliseconds(best.ExpectedTime(work, 1, now)) /
                        std::max(ToMilliseconds(work), 1.0);
   if (is_fresh && ratio <= kFastEnough) {
     Grant(record, best, now);
@@ -314,10 +351,8 @@
   }
   // Every endpoint that was asked is slow. Waiting helps while the request can
   // still meet its goal.
-  const monotonic_time goal_at = record.request.arrival + record.request.goal;
-  const time_span slack = std::max(
-      goal_at - now - std::chrono::duration_cast<time_span>(work * kFastEnough),
-      time_span(0));
+  const time_span slack =
+      std::max(LatestStart(record.request) - now, time_span(0));
   const bool may_hold = ratio > kFastEnough &&
                         waiting_.size() <= candidates.size() &&
                         chosen_for < std::min(kHoldLimit, slack);
@@ -336,7 +371,9 @@
   for (auto& [id, endpoint] : endpoints_) {
     const bool is_free = endpoint.IsUsable() && !endpoint.IsEjected(now) &&
                          endpoint.FreeSlots(now) > 0;
-    if (is_free && record.tried.count(id) == 0)
+    if (!is_free || record.tried.count(id) > 0)
+      continue;
+    if (!endpoint.IsNearlyFull(now) || MayCrowd(record, endpoint, now))
       candidates.push_back(&endpoint);
   }
   return candidates;
@@ -345,7 +382,8 @@
 time_span slot_scheduler::Cost(const request_record& record,
                                const endpoint_slots& endpoint,
                                monotonic_time now) const {
-  time_span cost = endpoint.ExpectedTime(WorkOf(record.request), now);
+  time_span cost =
+      endpoint.ExpectedTime(WorkOf(record.request), Crowding(), now);
   if (endpoint.entry().availability_zone != record.request.availability_zone) {
     cost += kZoneCost + kZoneCostPerKilobyte *
                             static_cast<int>(record.request.bytes / 1024);
@@ -386,6 +424,8 @@
                            monotonic_time now) {
   const std::uint64_t attempt = next_attempt_++;
   const bool is_hedge = record.wants_hedge;
+  if (record.was_late && !is_hedge)
+    NoteLateStart(now);
   Dequeue(record);
   if (record.attempts > 0) {
     repeats_.CountRepeat(now);
@@ -424,12 +464,16 @@
                              bool is_hedge,
                              monotonic_time now) {
   const slot_request& request = record.request;
-  const monotonic_time latest_start =
-      request.arrival + request.goal - WorkOf(request);
+  const monotonic_time latest_start = LatestStart(request);
   queue_key position;
   position.key = request.key;
-  position.tier = is_hedge ? 2 : (now <= latest_start ? 0 : 1);
   position.due = latest_start + request.importance * kImportanceStep;
+  position.tier = is_hedge ? kHedgeTier : kTimelyTier;
+  const bool is_late =
+      !is_hedge && now + ExpectedWait(position, now) > latest_start;
+  if (is_late)
+    position.tier = kLateTier;
+  record.was_late = is_late;
   record.is_waiting = true;
   record.wants_hedge = is_hedge;
   record.choosing_since.reset();
@@ -481,15 +525,17 @@
   std::vector<request_key> expired;
   std::vector<request_record*> late;
   for (const auto& [position, record] : waiting_) {
-    const time_span work = WorkOf(record->request);
-    const monotonic_time last_start =
-        record->request.deadline -
-        std::chrono::duration_cast<time_span>(work * kLeastWork);
-    const monotonic_time goal_start =
-        record->request.arrival + record->request.goal - work;
-    if (now > last_start) {
+    const slot_request& request = record->request;
+    const time_span work = WorkOf(request);
+    const bool is_over = now + Scale(work, kLeastWork) > request.deadline;
+    // What was expected at the arrival has turned out wrong.
+    const bool waits_too_long =
+        position.tier == kLateTier && record->running.empty() &&
+        now - request.arrival >
+            Scale(request.deadline - request.arrival, kLateWaitShare);
+    if (is_over || waits_too_long) {
       expired.push_back(position.key);
-    } else if (position.tier == 0 && now > goal_start) {
+    } else if (position.tier == kTimelyTier && now > LatestStart(request)) {
       late.push_back(record);
     }
   }
@@ -500,43 +546,104 @@
   for (const request_key& key : expired) {
     request_record& record = requests_.at(key);
     if (record.running.empty()) {
-      Reject(key, slot_refusal::kDeadline, RetryAfter(time_span(0)));
+      const time_span retry_after =
+          RetryAfter(record.request, kNoEndpointRetryAfter, now);
+      Reject(key, slot_refusal::kOverload, retry_after);
     } else {
       Dequeue(record);
     }
   }
 }
 
-time_span slot_scheduler::ExpectedWait(int tier,
-                                       monotonic_time due,
+time_span slot_scheduler::ExpectedWait(const queue_key& position,
                                        monotonic_time now) const {
   int ahead = 0;
-  for (const auto& [position, record] : waiting_) {
-    if (std::tie(position.tier, position.due) >= std::tie(tier, due))
+  int late_ahead = 0;
+  for (const auto& [other, record] : waiting_) {
+    if (!(other < position))
       break;
     ++ahead;
+    late_ahead += other.tier == kLateTier ? 1 : 0;
   }
-  int slots = 0;
   int free = 0;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (!endpoint.IsUsable())
-      continue;
-    slots += endpoint.entry().slots;
-    free += endpoint.IsEjected(now) ? 0 : endpoint.FreeSlots(now);
+    const bool has_room = endpoint.IsUsable() && !endpoint.IsEjected(now) &&
+                          endpoint.FreeSlots(now) > 0 &&
+                          !endpoint.IsNearlyFull(now);
+    free += has_room ? 1 : 0;
   }
-  if (ahead < free || slots == 0)
+  if (ahead < free)
     return time_span(0);
-  return std::chrono::duration_cast<time_span>(
-      holding_time_.mean() * (static_cast<double>(ahead - free + 1) / slots));
+  const double rate = ServiceRate();
+  double seconds = (ahead - free + 1) / rate;
+  if (position.tier == kLateTier) {
+    // Late requests get what the others leave.
+    const double late_rate = std::max(late_rate_, kFirstLateShare * rate);
+    seconds = std::max(seconds, (late_ahead + 1) / late_rate);
+  }
+  return FromMilliseconds(seconds * 1000);
+}
+
+double slot_scheduler::ServiceRate() const {
+  int in_flight = 0;
+  int usable = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    in_flight += endpoint.in_flight();
+    usable += endpoint.IsUsable() ? 1 : 0;
+  }
+  const int busy = std::max({in_flight, usable, 1});
+  return busy * 1000.0 / std::max(ToMilliseconds(holding_time_.mean()), 1.0);
+}
+
+monotonic_time slot_scheduler::LatestStart(const slot_request& request) const {
+  return request.arrival - request.waited_before + request.goal -
+         Scale(WorkOf(request), kGoalMargin);
+}
+
+double slot_scheduler::Crowding() const {
+  const double ratio = ToMilliseconds(crowded_ratio_.mean()) /
+                       std::max(ToMilliseconds(alone_ratio_.mean()), 1.0);
+  return std::clamp(ratio, kLeastCrowding, kMostCrowding);
+}
+
+bool slot_scheduler::MayCrowd(const request_record& record,
+                              const endpoint_slots& endpoint,
+                              monotonic_time now) const {
+  if (record.wants_hedge)
+    return false;
+  const slot_request& request = record.request;
+  const time_span work = WorkOf(request);
+  const time_span expected = endpoint.ExpectedTime(work, Crowding(), now);
+  const monotonic_time goal_at =
+      request.arrival - request.waited_before + request.goal;
+  return now + expected <= goal_at;
+}
+
+void slot_scheduler::NoteLateStart(monotonic_time now) {
+  const double memory = ToMilliseconds(kLateRateMemory) / 1000;
+  const double gap = ToMilliseconds(now - late_rate_at_) / 1000;
+  late_rate_ = late_rate_ * std::exp(-gap / memory) + 1 / memory;
+  late_rate_at_ = now;
 }
 
-time_span slot_scheduler::RetryAfter(time_span wait) {
+time_span slot_scheduler::RetryAfter(const slot_request& request,
+                                     time_span wait,
+                                     monotonic_time now) {
   // Spread over once to twice the wait, so that callers don't come back
   // together.
   const double spread = 1 + UniformUnit(random_);
-  const time_span told = std::chrono::duration_cast<time_span>(
-      std::max(wait, kShortestRetryAfter) * spread);
-  return std::min(told, kLongestRetryAfter);
+  const time_span told = Scale(std::max(wait, kShortestRetryAfter), spread);
+  const time_span heeded = (request.deadline - now) / kHeededDivisor;
+  return std::min(
+      {told, kLongestRetryAfter, std::max(heeded, kShortestRetryAfter)});
+}
+
+bool slot_scheduler::HasFreeSlot(monotonic_time now) const {
+  return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [now](const auto& each) {
+        return each.second.IsUsable() && !each.second.IsEjected(now) &&
+               each.second.FreeSlots(now) > 0;
+      });
 }
 
 bool slot_scheduler::HasUsableEndpoint() const {
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -93,6 +93,7 @@
   struct request_record {
     slot_request request;
     bool is_waiting = false;
+    bool was_late = false;     // Placed in the late tier.
     bool wants_hedge = false;  // Waiting for a hedge, not for a first attempt.
     int attempts = 0;          // Granted so far.
     std::set<std::string> tried;  // Endpoints that failed or run it.
@@ -115,8 +116,8 @@
   enum class placing {
     kGranted,
     kChoosing,  // Waits for probes or for a faster endpoint.
-    kNoSlot,
-    kDropped,
+    kNoSlot,    // None that this request may use.
+    kFull,      // None at all.
   };
 
   void Pump(monotonic_time now);
@@ -142,10 +143,24 @@
   void CheckHedges(monotonic_time now);
   void ForgetOverdue(monotonic_time now);
   void CheckWaiting(monotonic_time now);
-  time_span ExpectedWait(int tier,
-                         monotonic_time due,
-                         monotonic_time now) const;
-  time_span RetryAfter(time_span wait);
+  // Expected wait of a request behind those that come before `position`.
+  time_span ExpectedWait(const queue_key& position, monotonic_time now) const;
+  // Whether the request can take the last slot of an endpoint and still meet
+  // its goal there.
+  bool MayCrowd(const request_record& record,
+                const endpoint_slots& endpoint,
+                monotonic_time now) const;
+  // Slots that become free in a second.
+  double ServiceRate() const;
+  // When an attempt must start to end within the goal.
+  monotonic_time LatestStart(const slot_request& request) const;
+  // How much longer work takes on an endpoint whose last slot it took.
+  double Crowding() const;
+  void NoteLateStart(monotonic_time now);
+  time_span RetryAfter(const slot_request& request,
+                       time_span wait,
+                       monotonic_time now);
+  bool HasFreeSlot(monotonic_time now) const;
   bool HasUsableEndpoint() const;
   time_span WorkOf(const slot_request& request) const;
   void Wake(monotonic_time due);
@@ -162,6 +177,12 @@
   std::set<std::pair<monotonic_time, request_key>> hedges_due_;
   std::map<std::string, work_estimate> estimates_;  // By work class.
   work_estimate holding_time_;  // How long attempts hold a slot, all classes.
+  // Time relative to the usual time, on endpoints with and without free slots.
+  work_estimate alone_ratio_;
+  work_estimate crowded_ratio_;
+  // Late requests that were started in a second, as a moving average.
+  double late_rate_ = 0;
+  monotonic_time late_rate_at_;
   repeat_window repeats_;
   std::uint64_t next_attempt_;
   std::optional<monotonic_time> wake_at_;
