--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -74,10 +74,7 @@
   board_ = registry_.Find<state_board>(state_board::kName);
   feed_ = registry_.Find<state_feed>(state_feed::kName);
   directory_ = registry_.Find<entry_directory>(entry_directory::kName);
-  board_->Subscribe([this] {
-    split_.Reset();
-    patience_.clear();
-  });
+  board_->Subscribe([this] { split_.Reset(); });
 
   host_.limits = [this] {
     const std::shared_ptr<const route_table> routes = board_->routes();
--- a/modules/entry_gateway/entry_gateway.h
+++ b/modules/entry_gateway/entry_gateway.h
@@ -20,7 +20,6 @@
 #include "modules/entry_gateway/session_host.h"
 #include "modules/http/http_listener.h"
 #include "servers/routing/weighted_split.h"
-#include "servers/scheduling/patience_mode.h"
 #include "servers/settings/entry_settings.h"
 
 namespace prometheus {
@@ -96,7 +95,6 @@
   session_host host_;
   request_services services_;
   weighted_split split_;
-  std::map<std::string, patience_mode> patience_;  // By host and prefix.
   std::unordered_set<caller_session*> sessions_;
   std::size_t running_ = 0;     // Requests without an answer.
   std::size_t body_bytes_ = 0;  // Held for them and for those being read.
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -83,7 +83,6 @@
   wanted.max_attempts = plan_.max_attempts;
   wanted.bytes = body_->size();
   wanted.goal = plan_.goal;
-  wanted.waited_before = plan_.waited_before;
   wanted.arrival = request_.arrival;
   wanted.deadline = plan_.deadline;
   slot_client_hooks hooks;
--- a/modules/entry_gateway/request_run.h
+++ b/modules/entry_gateway/request_run.h
@@ -38,7 +38,6 @@
   std::string work_class;
   std::string caller_id;  // The caller's request id.
   time_span goal{0};
-  time_span waited_before{0};  // By the caller, in refused attempts.
   int importance = 0;
   int max_attempts = 1;
   // The route's timeout, or the caller's limit where that is shorter.
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -16,6 +16,8 @@
 // Each call has a price, so that a watch waits long. Keep-alive probes of the
 // connection find out earlier when its path is gone.
 constexpr time_span kWatchWait = std::chrono::seconds(25);
+// Wait of the first watch after a failure, before the store is listed again.
+constexpr time_span kShortWatchWait = std::chrono::milliseconds(1200);
 // Longest time for an answer beyond the wait. The store answers in 4 ms, and
 // at 60 times that when it is slow.
 constexpr time_span kAnswerTimeout = std::chrono::seconds(2);
@@ -136,8 +138,9 @@
 }
 
 void state_feed::Watch() {
-  Fetch(contract_.watch_target(revision_, kWatchWait),
-        kWatchWait + kAnswerTimeout, &state_feed::OnWatch);
+  const time_span wait = must_list_again_ ? kShortWatchWait : kWatchWait;
+  Fetch(contract_.watch_target(revision_, wait), wait + kAnswerTimeout,
+        &state_feed::OnWatch);
 }
 
 void state_feed::OnWatch(const fetch_result& answer) {
@@ -156,6 +159,10 @@
   for (const store_change& change : page->changes)
     Apply(change);
   revision_ = std::max(revision_, page->as_of);
+  if (must_list_again_) {
+    must_list_again_ = false;
+    return List("");
+  }
   if (page->changes.empty())
     return Watch();
   Schedule(kGatherTime, [this] { Watch(); });
@@ -190,13 +197,8 @@
   // together don't stay in step.
   const time_span spread = std::chrono::duration_cast<time_span>(
       wait * (0.5 + UniformUnit(random_)));
-  Schedule(spread, [this] {
-    if (has_listing_) {
-      Watch();
-    } else {
-      List("");
-    }
-  });
+  must_list_again_ = true;
+  Schedule(spread, [this] { List(""); });
 }
 
 void state_feed::Apply(const store_change& change) {
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -76,6 +76,10 @@
   bool has_listing_ = false;
   std::optional<std::uint64_t> listing_since_;  // Revision of its first page.
   std::set<std::string> listed_ids_;
+  // A watch that was broken off may have missed changes that the store forgot
+  // meanwhile, and so may the next one that starts at once. Both are checked by
+  // a listing: this one is still due.
+  bool must_list_again_ = false;
   int failures_in_row_ = 0;
   monotonic_time failing_since_;
   // Until when a removed entry may still come back, because the store was away.
--- a/servers/scheduling/slot_request.h
+++ b/servers/scheduling/slot_request.h
@@ -36,9 +36,7 @@
   int max_attempts = 1;
   int earlier_attempts = 0;  // Granted by other owners of the service.
   std::size_t bytes = 0;     // Of the request body.
-  time_span goal{0};  // Response-time goal, from the caller's first attempt.
-  // How long the caller has waited before, in attempts that were refused.
-  time_span waited_before{0};
+  time_span goal{0};         // Response-time goal from the arrival.
   monotonic_time arrival;
   monotonic_time deadline;  // No answer is of use after it.
 };
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -55,7 +55,7 @@
 
 // A request that cannot meet its goal waits for spare slots at most this share
 // of the time that its caller has left; beyond that it is refused at once.
-constexpr double kLateWaitShare = 0.3;
+constexpr double kLateWaitShare = 0.75;
 // Share of the service rate that late requests are assumed to get at first,
 // and the memory of what they do get.
 constexpr double kFirstLateShare = 0.15;
@@ -596,8 +596,7 @@
 }
 
 monotonic_time slot_scheduler::LatestStart(const slot_request& request) const {
-  return request.arrival - request.waited_before + request.goal -
-         Scale(WorkOf(request), kGoalMargin);
+  return request.arrival + request.goal - Scale(WorkOf(request), kGoalMargin);
 }
 
 double slot_scheduler::Crowding() const {
@@ -614,8 +613,7 @@
   const slot_request& request = record.request;
   const time_span work = WorkOf(request);
   const time_span expected = endpoint.ExpectedTime(work, Crowding(), now);
-  const monotonic_time goal_at =
-      request.arrival - request.waited_before + request.goal;
+  const monotonic_time goal_at = request.arrival + request.goal;
   return now + expected <= goal_at;
 }
 
