Hold requests up to 120 ms while every free endpoint is slow, at any load

An endpoint in a slow phase does a fifth of its usual work, so a request that starts there holds a slot for little.

--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -18,13 +18,17 @@
 
 // A request waits up to this long for a faster endpoint while every free one
 // is slow, and asks again after kAskAgain.
-constexpr time_span kHoldLimit = std::chrono::milliseconds(60);
+constexpr time_span kHoldLimit = std::chrono::milliseconds(120);
 constexpr time_span kAskAgain = std::chrono::milliseconds(14);
 
 // An endpoint is fast enough when the request is expected to take at most this
 // many times its usual time there.
 constexpr double kFastEnough = 1.35;
 
+// Share of the endpoints that must be empty, beyond those that waiting requests
+// will take, before capacity is spent on waiting for a faster one or on hedges.
+constexpr double kSpareShare = 0.2;
+
 // Probes for each waiting request, and at most at a time.
 constexpr int kProbesPerRequest = 3;
 constexpr std::size_t kMaxProbesAtATime = 8;
@@ -58,7 +62,7 @@
 constexpr double kLateWaitShare = 0.75;
 // Share of the service rate that late requests are assumed to get at first,
 // and the memory of what they do get.
-constexpr double kFirstLateShare = 0.15;
+constexpr double kFirstLateShare = 0.25;
 constexpr time_span kLateRateMemory = std::chrono::seconds(2);
 
 // Callers heed a Retry-After up to a third of the time that they have left.
@@ -353,9 +357,11 @@
   // still meet its goal.
   const time_span slack =
       std::max(LatestStart(record.request) - now, time_span(0));
-  const bool may_hold = ratio > kFastEnough &&
-                        waiting_.size() <= candidates.size() &&
-                        chosen_for < std::min(kHoldLimit, slack);
+  // A late request loses nothing by waiting.
+  const bool is_timely = !record.was_late;
+  const bool may_hold =
+      ratio > kFastEnough &&
+      chosen_for < (is_timely ? std::min(kHoldLimit, slack) : kHoldLimit);
   if (may_hold) {
     Wake(now + kAskAgain);
     return placing::kChoosing;
@@ -498,7 +504,7 @@
     if (record.is_waiting || record.running.size() != 1)
       continue;
     // A hedge takes a slot only while no first attempt waits for one.
-    if (waiting_.empty() && repeats_.CanRepeat(now)) {
+    if (waiting_.empty() && HasSpareEndpoints(now) && repeats_.CanRepeat(now)) {
       Enqueue(record, true, now);
       continue;
     }
@@ -644,6 +650,18 @@
       });
 }
 
+bool slot_scheduler::HasSpareEndpoints(monotonic_time now) const {
+  int usable = 0;
+  int empty = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.IsUsable())
+      continue;
+    ++usable;
+    empty += !endpoint.IsEjected(now) && endpoint.Busy(now) == 0 ? 1 : 0;
+  }
+  return empty - static_cast<int>(waiting_.size()) > kSpareShare * usable;
+}
+
 bool slot_scheduler::HasUsableEndpoint() const {
   return std::any_of(endpoints_.begin(), endpoints_.end(),
                      [](const auto& each) { return each.second.IsUsable(); });
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -161,6 +161,8 @@
                        time_span wait,
                        monotonic_time now);
   bool HasFreeSlot(monotonic_time now) const;
+  // Whether endpoints are idle that no waiting request needs.
+  bool HasSpareEndpoints(monotonic_time now) const;
   bool HasUsableEndpoint() const;
   time_span WorkOf(const slot_request& request) const;
   void Wake(monotonic_time due);
