Learn how much a filled endpoint slows down

The owner compares attempts that ran alone with those that were crowded for most of their time. Where crowding is slight any request may fill an endpoint; elsewhere only one that can still meet its goal. Requests are held up to 300 ms for an endpoint that is not slow.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -91,10 +91,20 @@
 void endpoint_slots::Start(std::uint64_t attempt,
                            time_span expected,
                            monotonic_time now) {
-  const bool is_crowded = IsNearlyFull(now);
-  for (auto& [id, other] : running_)
-    other.was_crowded |= is_crowded;
-  running_[attempt] = {now, std::max(expected, time_span(1)), is_crowded};
+  running_[attempt] = {now, std::max(expected, time_span(1)), CrowdedTime(now)};
+  NoteCrowding(now);
+}
+
+time_span endpoint_slots::CrowdedTime(monotonic_time now) const {
+  return crowded_since_ ? crowded_time_ + (now - *crowded_since_)
+                        : crowded_time_;
+}
+
+void endpoint_slots::NoteCrowding(monotonic_time now) {
+  crowded_time_ = CrowdedTime(now);
+  crowded_since_.reset();
+  if (entry_.slots > 1 && in_flight() >= entry_.slots)
+    crowded_since_ = now;
 }
 
 bool endpoint_slots::IsNearlyFull(monotonic_time now) const {
@@ -110,10 +120,12 @@
   if (found == running_.end())
     return std::nullopt;
   const time_span elapsed = now - found->second.started;
-  const ended_attempt ended{elapsed, found->second.was_crowded};
+  const ended_attempt ended{elapsed,
+                            CrowdedTime(now) - found->second.crowded_before};
   if (found->second.started < load_asked_at_)
     ++ended_since_load_;
   running_.erase(found);
+  NoteCrowding(now);
   const bool is_failure = outcome != attempt_outcome::kAnswered &&
                           outcome != attempt_outcome::kCancelled;
   if (outcome != attempt_outcome::kCancelled) {
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -39,7 +39,7 @@
   void Start(std::uint64_t attempt, time_span expected, monotonic_time now);
   struct ended_attempt {
     time_span elapsed{0};
-    bool was_crowded = false;  // It shared the endpoint's last slot.
+    time_span crowded{0};  // Part of it with no slot left on the endpoint.
   };
   // Ends an attempt; `expected` is the usual time of its class. Returns nothing
   // when the attempt is unknown.
@@ -72,10 +72,13 @@
   struct running_attempt {
     monotonic_time started;
     time_span expected{1};
-    bool was_crowded = false;
+    time_span crowded_before{0};  // Value of CrowdedTime at the start.
   };
 
   double Straggling(monotonic_time now) const;
+  // Time that the endpoint has had no slot left, by own attempts.
+  time_span CrowdedTime(monotonic_time now) const;
+  void NoteCrowding(monotonic_time now);
   void OnFailure(attempt_outcome outcome, monotonic_time now);
 
   endpoint_entry entry_;
@@ -83,6 +86,9 @@
   monotonic_time warm_at_;
   std::map<std::uint64_t, running_attempt> running_;
 
+  time_span crowded_time_{0};  // Up to crowded_since_, or now when not set.
+  std::optional<monotonic_time> crowded_since_;
+
   std::optional<endpoint_load> load_;
   monotonic_time load_at_;
   // Attempts that ended since the probe behind load_ was answered.
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -18,7 +18,7 @@
 
 // A request waits up to this long for a faster endpoint while every free one
 // is slow, and asks again after kAskAgain.
-constexpr time_span kHoldLimit = std::chrono::milliseconds(120);
+constexpr time_span kHoldLimit = std::chrono::milliseconds(300);
 constexpr time_span kAskAgain = std::chrono::milliseconds(14);
 
 // An endpoint is fast enough when the request is expected to take at most this
@@ -70,9 +70,11 @@
 
 // Bounds of how much longer work takes on an endpoint whose last slot it took,
 // and what is assumed before it was seen. Scale for the ratios.
-constexpr double kLeastCrowding = 1.1;
+constexpr double kLeastCrowding = 1.05;
 constexpr double kMostCrowding = 2.5;
 constexpr time_span kRatioUnit = std::chrono::seconds(1);
+// Of the newest answer; the ratio belongs to the service and hardly changes.
+constexpr double kRatioWeight = 0.015;
 constexpr time_span kFirstCrowdedRatio = std::chrono::milliseconds(1700);
 
 // Bounds of the time after which a refused caller is told to come back.
@@ -93,6 +95,17 @@
 constexpr time_span kOverdueTime = std::chrono::milliseconds(500);
 constexpr time_span kSweepInterval = std::chrono::milliseconds(250);
 
+// Slowdown that a request counts with when it decides whether it can still meet
+// its goal on an endpoint that it fills: the others there end earlier.
+constexpr double kHopefulCrowding = 1.2;
+
+// Below this, the last slot of an endpoint adds so much throughput that any
+// request may take it.
+constexpr double kSlightCrowding = 1.35;
+// Share of an attempt's time for which its endpoint was full, from which on the
+// attempt tells how much longer work takes there.
+constexpr double kMostlyCrowded = 0.7;
+
 // Tiers of the queue.
 constexpr int kTimelyTier = 0;
 constexpr int kLateTier = 1;
@@ -111,8 +124,8 @@
       hooks_(std::move(hooks)),
       random_(std::move(random)),
       holding_time_(std::chrono::milliseconds(150)),
-      alone_ratio_(kRatioUnit),
-      crowded_ratio_(kFirstCrowdedRatio),
+      alone_ratio_(kRatioUnit, kRatioWeight),
+      crowded_ratio_(kFirstCrowdedRatio, kRatioWeight),
       repeats_(settings_.repeats),
       // Attempt numbers of different owners must not meet.
       next_attempt_(random_() >> 8) {}
@@ -214,14 +227,16 @@
       endpoint->second.ApplyLoad(*load, now);
     if (ended && outcome == attempt_outcome::kAnswered) {
       const auto estimate = estimates_.find(record.request.work_class);
-      const bool counts = !ended->was_crowded && estimate != estimates_.end();
-      if (counts)
+      const bool was_alone = ended->crowded == time_span(0);
+      if (was_alone && estimate != estimates_.end())
         estimate->second.Add(ended->elapsed);
       holding_time_.Add(ended->elapsed);
       const double ratio =
           ToMilliseconds(ended->elapsed) / std::max(ToMilliseconds(work), 1.0);
-      (ended->was_crowded ? crowded_ratio_ : alone_ratio_)
-          .Add(Scale(kRatioUnit, ratio));
+      if (was_alone)
+        alone_ratio_.Add(Scale(kRatioUnit, ratio));
+      else if (ended->crowded > Scale(ended->elapsed, kMostlyCrowded))
+        crowded_ratio_.Add(Scale(kRatioUnit, ratio));
     }
   }
   if (outcome == attempt_outcome::kAnswered ||
@@ -572,11 +587,13 @@
     late_ahead += other.tier == kLateTier ? 1 : 0;
   }
   int free = 0;
+  const bool may_fill = Crowding() < kSlightCrowding;
   for (const auto& [id, endpoint] : endpoints_) {
-    const bool has_room = endpoint.IsUsable() && !endpoint.IsEjected(now) &&
-                          endpoint.FreeSlots(now) > 0 &&
-                          !endpoint.IsNearlyFull(now);
-    free += has_room ? 1 : 0;
+    if (!endpoint.IsUsable() || endpoint.IsEjected(now))
+      continue;
+    const int room = endpoint.FreeSlots(now);
+    free +=
+        may_fill ? room : std::min(room, endpoint.IsNearlyFull(now) ? 0 : 1);
   }
   if (ahead < free)
     return time_span(0);
@@ -606,8 +623,8 @@
 }
 
 double slot_scheduler::Crowding() const {
-  const double ratio = ToMilliseconds(crowded_ratio_.mean()) /
-                       std::max(ToMilliseconds(alone_ratio_.mean()), 1.0);
+  const double ratio = ToMilliseconds(crowded_ratio_.usual()) /
+                       std::max(ToMilliseconds(alone_ratio_.usual()), 1.0);
   return std::clamp(ratio, kLeastCrowding, kMostCrowding);
 }
 
@@ -616,9 +633,11 @@
                               monotonic_time now) const {
   if (record.wants_hedge)
     return false;
+  if (Crowding() < kSlightCrowding)
+    return true;
   const slot_request& request = record.request;
   const time_span work = WorkOf(request);
-  const time_span expected = endpoint.ExpectedTime(work, Crowding(), now);
+  const time_span expected = endpoint.ExpectedTime(work, kHopefulCrowding, now);
   const monotonic_time goal_at = request.arrival + request.goal;
   return now + expected <= goal_at;
 }
@@ -691,6 +710,7 @@
   return {{"waiting", waiting_.size()},
           {"requests", requests_.size()},
           {"mean_holding_ms", ToMilliseconds(holding_time_.mean())},
+          {"crowding", Crowding()},
           {"repeats_in_window", repeats_.repeats()},
           {"requests_in_window", repeats_.requests()},
           {"endpoints", endpoints},
--- a/servers/scheduling/work_estimate.h
+++ b/servers/scheduling/work_estimate.h
@@ -10,14 +10,15 @@
 
 class work_estimate {
  public:
-  // `initial` holds until answers come in.
-  explicit work_estimate(time_span initial)
-      : usual_ms_(ToMilliseconds(initial)), mean_ms_(usual_ms_) {}
+  // `initial` holds until answers come in. Recent answers count more; `weight`
+  // is that of the newest one.
+  explicit work_estimate(time_span initial, double weight = 0.05)
+      : weight_(weight),
+        usual_ms_(ToMilliseconds(initial)),
+        mean_ms_(usual_ms_) {}
 
   // Adds the time of one answer.
   void Add(time_span elapsed) {
-    // Recent answers count more, but one answer never decides.
-    constexpr double kWeight = 0.05;
     // The share of answers below the usual time; the others met a slow
     // endpoint or unusual work.
     constexpr double kUsualQuantile = 0.4;
@@ -25,10 +26,10 @@
     constexpr double kLargestRatio = 5;
     const double sample =
         std::min(ToMilliseconds(elapsed), kLargestRatio * mean_ms_);
-    mean_ms_ += kWeight * (sample - mean_ms_);
+    mean_ms_ += weight_ * (sample - mean_ms_);
     const double step =
         sample > usual_ms_ ? kUsualQuantile : kUsualQuantile - 1;
-    usual_ms_ *= 1 + kWeight * step;
+    usual_ms_ *= 1 + weight_ * step;
   }
 
   // Time on an endpoint that works at its usual speed.
@@ -37,6 +38,7 @@
   time_span mean() const { return FromMilliseconds(mean_ms_); }
 
  private:
+  double weight_;
   double usual_ms_;
   double mean_ms_;
 };
