Read the store through a few entry VMs in large fleets; owners on large VMs

Three readers answer the others in the store's own protocol while their own reading is fresh; followers fall back to the next reader and then to the store. Duties go to the VMs with the most capacity, which members now tell each other; tables that still differ are asked for again after 0.8 s, since 141 VMs that joined at once knew 60 to 140 of each other after 12 s.

--- a/main/daemon/entry_daemon.cc
+++ b/main/daemon/entry_daemon.cc
@@ -17,6 +17,7 @@
 #include "modules/peer_link/peer_link.h"
 #include "modules/slot_link/slot_link.h"
 #include "modules/state_feed/state_feed.h"
+#include "modules/state_feed/state_relay.h"
 #include "servers/bundles/bundle_service.h"
 #include "servers/discovery/endpoint_registry.h"
 #include "servers/membership/entry_directory.h"
@@ -88,6 +89,7 @@
   self.caller_address = settings_.caller_listen;
   self.availability_zone = settings_.availability_zone;
   self.incarnation = random();
+  self.capacity = settings_.capacity;
   registry_.Register(std::make_unique<bundle_service>(process));
   registry_.Register(std::make_unique<entry_directory>(self));
   registry_.Register(std::make_unique<state_board>());
@@ -102,7 +104,9 @@
   RegisterMetricsModule(registry_);
   registry_.Register(std::make_unique<slot_link>(registry_, settings_, random));
   RegisterPeerLinkModule(registry_, process, random);
-  registry_.Register(std::make_unique<state_feed>(registry_, settings_.store,
+  registry_.Register(
+      std::make_unique<state_relay>(registry_, settings_, platform_.store));
+  registry_.Register(std::make_unique<state_feed>(registry_, settings_,
                                                   platform_.store, random));
   registry_.Register(std::make_unique<entry_gateway>(
       registry_, settings_, platform_.callers, random));
@@ -120,6 +124,11 @@
         {{"address", settings_.slot_listen.ToString()}});
     return false;
   }
+  if (!registry_.Find<state_relay>(state_relay::kName)->Listen()) {
+    Log(log_level::kError, "listen_failed",
+        {{"address", settings_.relay_listen.ToString()}});
+    return false;
+  }
   if (!registry_.Find<operator_api>(operator_api::kName)->Listen()) {
     Log(log_level::kError, "listen_failed",
         {{"address", settings_.metrics_listen.ToString()}});
@@ -136,13 +145,47 @@
   return true;
 }
 
+void entry_daemon::LogMembers() {
+  std::map<network_address, member_state> seen;
+  for (const member& each :
+       registry_.Find<entry_directory>(entry_directory::kName)->members()) {
+    seen[each.peer_address] = each.state;
+  }
+  std::size_t changed = 0;
+  std::string example;
+  for (const auto& [address, state] : seen) {
+    const auto before = members_seen_.find(address);
+    if (before != members_seen_.end() && before->second == state)
+      continue;
+    ++changed;
+    example = address.ToString() + " " + ToString(state);
+  }
+  for (const auto& [address, state] : members_seen_) {
+    if (seen.count(address) > 0)
+      continue;
+    ++changed;
+    example = address.ToString() + " gone";
+  }
+  if (changed > 0) {
+    Log(log_level::kInfo, "members_changed",
+        {{"members", std::to_string(seen.size())},
+         {"changed", std::to_string(changed)},
+         {"last", example}});
+  }
+  members_seen_ = std::move(seen);
+}
+
 int entry_daemon::Run() {
   RegisterServices();
+  registry_.Find<entry_directory>(entry_directory::kName)->Subscribe([this] {
+    LogMembers();
+  });
   registry_.StartAll();
   if (!OpenListeners())
     return 1;
   Log(log_level::kInfo, "started",
       {{"vm", settings_.vm_name},
+       {"capacity", std::to_string(settings_.capacity)},
        {"availability_zone", settings_.availability_zone},
        {"callers", settings_.caller_listen.ToString()},
        {"metrics", settings_.metrics_listen.ToString()}});
--- a/main/daemon/entry_daemon.h
+++ b/main/daemon/entry_daemon.h
@@ -4,6 +4,7 @@
 #define MAIN_DAEMON_ENTRY_DAEMON_H_
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -12,6 +13,7 @@
 #include "core/service_registry.h"
 #include "modules/entry_gateway/caller_contract.h"
 #include "modules/state_feed/store_contract.h"
+#include "servers/membership/member.h"
 #include "servers/settings/entry_settings.h"
 #include "servers/settings/process_settings.h"
 
@@ -41,6 +43,8 @@
   bool OpenListeners();
   void Reload(bool is_asked_for);
   void RunReloadTimer();
+  // Logs members that come, go, or change their state.
+  void LogMembers();
   void BeginShutdown();
   void CheckDrained();
 
@@ -51,6 +55,7 @@
   std::optional<boost::asio::steady_timer> drain_timer_;
   std::optional<boost::asio::steady_timer> reload_timer_;
   monotonic_time drain_began_;
+  std::map<network_address, member_state> members_seen_;
   bool is_leaving_ = false;
   bool has_stopped_accepting_ = false;
   int exit_status_ = 0;
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -6,12 +6,12 @@
 
 #include <boost/asio/post.hpp>
 
-#include "core/rendezvous_hash.h"
 #include "drivers/event_loop.h"
 #include "drivers/logging.h"
 #include "modules/endpoint_link/endpoint_link.h"
 #include "servers/discovery/endpoint_registry.h"
 #include "servers/membership/entry_directory.h"
+#include "servers/placement/duty_placement.h"
 #include "servers/routing/state_board.h"
 
 namespace papayakeel {
@@ -98,25 +98,14 @@
 
 network_address slot_link::OwnerOf(const std::string& service_name) const {
   const monotonic_time now = event_loop::Now();
-  network_address best = directory_->self().peer_address;
-  std::uint64_t best_weight = 0;
-  bool has_best = false;
-  for (const member& each : directory_->members()) {
-    const auto distrusted = distrusted_until_.find(each.peer_address);
-    const bool is_passed_over =
-        each.state != member_state::kAlive ||
-        (distrusted != distrusted_until_.end() && now < distrusted->second);
-    if (is_passed_over)
-      continue;
-    const std::uint64_t weight =
-        RendezvousWeight(service_name, each.peer_address.ToString());
-    if (!has_best || weight > best_weight) {
-      has_best = true;
-      best = each.peer_address;
-      best_weight = weight;
-    }
-  }
-  return best;
+  const std::vector<member> owners = ChooseForDuty(
+      service_name, directory_->members(), 1, [this, now](const member& each) {
+        const auto distrusted = distrusted_until_.find(each.peer_address);
+        return distrusted != distrusted_until_.end() &&
+               now < distrusted->second;
+      });
+  return owners.empty() ? directory_->self().peer_address
+                        : owners.front().peer_address;
 }
 
 slot_link::owned_service& slot_link::Own(const std::string& service_name) {
@@ -350,7 +339,9 @@
 void slot_link::Distrust(const network_address& owner) {
   ++owner_failures_;
   distrusted_until_[owner] = event_loop::Now() + kDistrustTime;
-  Log(log_level::kWarning, "owner_silent", {{"owner", owner.ToString()}});
+  Log(log_level::kWarning, "owner_silent",
+      {{"owner", owner.ToString()},
+       {"members", std::to_string(directory_->members().size())}});
   Reassign();
 }
 
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -6,7 +6,10 @@
 
 #include "drivers/event_loop.h"
 #include "drivers/logging.h"
+#include "modules/state_feed/state_relay.h"
 #include "servers/discovery/endpoint_registry.h"
+#include "servers/membership/entry_directory.h"
+#include "servers/placement/duty_placement.h"
 #include "servers/routing/state_board.h"
 
 namespace papayakeel {
@@ -36,6 +39,16 @@
 // A store that fails for less than this has let no entry expire.
 constexpr time_span kShortestLapse = std::chrono::seconds(1);
 
+// Fleets of this size read the store through a few of their entry VMs.
+constexpr std::size_t kRelayedFleet = 30;
+constexpr std::size_t kReaders = 3;
+// A reader that is cut off must notice soon, and so must its followers, since
+// changes are in force everywhere within 2 s.
+constexpr time_span kRelayedWatchWait = std::chrono::milliseconds(600);
+constexpr time_span kRelayTimeout = std::chrono::milliseconds(300);
+// How long relays that failed are passed over.
+constexpr time_span kRelayPause = std::chrono::seconds(3);
+
 // A page holds at most about 500 items or 1 MB, which base64 lengthens.
 constexpr std::size_t kMaxAnswerBytes = 8 << 20;
 
@@ -44,11 +57,11 @@
 }  // namespace
 
 state_feed::state_feed(service_registry& registry,
-                       network_address store,
+                       const entry_settings& settings,
                        store_contract contract,
                        random_source random)
     : registry_(registry),
-      store_(std::move(store)),
+      settings_(settings),
       contract_(std::move(contract)),
       random_(std::move(random)) {}
 
@@ -56,6 +69,8 @@
   loop_ = registry_.Find<event_loop>(event_loop::kName);
   board_ = registry_.Find<state_board>(state_board::kName);
   endpoints_ = registry_.Find<endpoint_registry>(endpoint_registry::kName);
+  directory_ = registry_.Find<entry_directory>(entry_directory::kName);
+  relay_ = registry_.Find<state_relay>(state_relay::kName);
   timer_.emplace(loop_->context());
   removal_timer_.emplace(loop_->context());
   List("");
@@ -79,11 +94,15 @@
 void state_feed::Fetch(const std::string& target,
                        time_span timeout,
                        void (state_feed::*handle)(const fetch_result&)) {
-  ++calls_total_;
+  source_ = ChooseSource();
+  if (!IsFollowing())
+    ++calls_total_;
   fetch_request fetch;
-  fetch.server = store_;
+  fetch.server = source_;
+  if (IsFollowing())
+    fetch.connect_timeout = kRelayTimeout;
   fetch.request = http_request(http::verb::get, target, kHttp11);
-  fetch.request.set(http::field::host, store_.ToString());
+  fetch.request.set(http::field::host, source_.ToString());
   fetch.timeout = timeout;
   fetch.max_answer_bytes = kMaxAnswerBytes;
   papayakeel::Fetch(loop_->context(), std::move(fetch),
@@ -97,6 +116,7 @@
   if (after_key.empty()) {
     listing_since_.reset();
     listed_ids_.clear();
+    listing_.clear();
   }
   Fetch(contract_.list_target(after_key), kAnswerTimeout, &state_feed::OnList);
 }
@@ -108,6 +128,8 @@
       contract_.read_list(answer->result_int(), answer->body());
   if (!page)
     return OnFailure(ToString(page.error()));
+  if (IsFollowing() && page->as_of < revision_)
+    return OnFailure("relay_behind");
   OnSuccess();
   // Pages are no snapshot: changes made meanwhile are read again by the watch.
   if (!listing_since_)
@@ -116,6 +138,7 @@
     if (std::holds_alternative<endpoint_entry>(change.value))
       listed_ids_.insert(change.endpoint_id);
     Apply(change);
+    listing_.push_back(change);
   }
   if (page->has_more && !page->last_key.empty())
     return List(page->last_key);
@@ -128,6 +151,9 @@
     endpoints_->RetainOnly(listed_ids_);
   }
   revision_ = *listing_since_;
+  relay_->SetListing(listing_, revision_);
+  relay_->SetFresh(is_reader_);
+  listing_.clear();
   if (!has_listing_) {
     Log(log_level::kInfo, "store_listed",
         {{"endpoints", std::to_string(endpoints_->size())},
@@ -138,8 +164,14 @@
 }
 
 void state_feed::Watch() {
-  const time_span wait = must_list_again_ ? kShortWatchWait : kWatchWait;
-  Fetch(contract_.watch_target(revision_, wait), wait + kAnswerTimeout,
+  const bool is_following = ChooseSource() != settings_.store;
+  const bool is_quick = is_following || is_reader_;
+  time_span wait = must_list_again_ ? kShortWatchWait : kWatchWait;
+  if (is_quick)
+    wait = kRelayedWatchWait;
+  relay_->SetFresh(is_reader_ && failures_in_row_ == 0);
+  Fetch(contract_.watch_target(revision_, wait),
+        wait + (is_quick ? kRelayTimeout : kAnswerTimeout),
         &state_feed::OnWatch);
 }
 
@@ -159,11 +191,12 @@
   for (const store_change& change : page->changes)
     Apply(change);
   revision_ = std::max(revision_, page->as_of);
+  relay_->AddChanges(page->changes, revision_);
   if (must_list_again_) {
     must_list_again_ = false;
     return List("");
   }
-  if (page->changes.empty())
+  if (page->changes.empty() || IsFollowing())
     return Watch();
   Schedule(kGatherTime, [this] { Watch(); });
 }
@@ -182,7 +215,50 @@
   last_answer_ = now;
 }
 
+std::vector<network_address> state_feed::Relays() {
+  is_reader_ = false;
+  const std::vector<member>& members = directory_->members();
+  const bool is_small = members.size() < kRelayedFleet;
+  if (is_small || !has_listing_)
+    return {};
+  std::vector<network_address> relays;
+  for (const member& each : ChooseForDuty("store readers", members, kReaders)) {
+    if (each.peer_address == directory_->self().peer_address) {
+      is_reader_ = true;
+      return {};
+    }
+    relays.push_back({each.peer_address.host, settings_.relay_listen.port});
+  }
+  // Followers are spread over the readers.
+  const std::size_t first =
+      std::hash<std::string>()(settings_.vm_name) % relays.size();
+  std::rotate(relays.begin(),
+              relays.begin() + static_cast<std::ptrdiff_t>(first),
+              relays.end());
+  return relays;
+}
+
+network_address state_feed::ChooseSource() {
+  if (relay_failures_ > 0 &&
+      event_loop::Now() - relays_failed_at_ > kRelayPause) {
+    relay_failures_ = 0;
+  }
+  const std::vector<network_address> relays = Relays();
+  return relay_failures_ < relays.size() ? relays[relay_failures_]
+                                         : settings_.store;
+}
+
 void state_feed::OnFailure(std::string_view reason) {
+  if (IsFollowing()) {
+    // The next relay, or the store itself, may be better.
+    Log(log_level::kWarning, "relay_lost",
+        {{"relay", source_.ToString()}, {"reason", std::string(reason)}});
+    relays_failed_at_ = event_loop::Now();
+    ++relay_failures_;
+    Schedule(time_span(0), [this] { Watch(); });
+    return;
+  }
+  relay_->SetFresh(false);
   if (failures_in_row_ == 0) {
     failing_since_ = event_loop::Now();
     Log(log_level::kWarning, "store_lost",
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -16,19 +17,22 @@
 #include "core/service_registry.h"
 #include "modules/http/http_fetch.h"
 #include "modules/state_feed/store_contract.h"
+#include "servers/settings/entry_settings.h"
 
 namespace papayakeel {
 
 class endpoint_registry;
+class entry_directory;
 class event_loop;
 class state_board;
+class state_relay;
 
 class state_feed : public service {
  public:
   static constexpr std::string_view kName = "state_feed";
 
   state_feed(service_registry& registry,
-             network_address store,
+             const entry_settings& settings,
              store_contract contract,
              random_source random);
 
@@ -53,6 +57,12 @@
   void Fetch(const std::string& target,
              time_span timeout,
              void (state_feed::*handle)(const fetch_result&));
+  // The entry VMs to read from instead of the store, best first; none when this
+  // one reads the store itself.
+  std::vector<network_address> Relays();
+  // Where the next call goes.
+  network_address ChooseSource();
+  bool IsFollowing() const { return source_ != settings_.store; }
   void OnSuccess();
   void OnFailure(std::string_view reason);
   // Calls `next` after `wait`, unless the service stops first.
@@ -63,12 +73,14 @@
   void RemoveMissing();
 
   service_registry& registry_;
-  const network_address store_;
+  const entry_settings settings_;
   const store_contract contract_;
   random_source random_;
   event_loop* loop_ = nullptr;
   state_board* board_ = nullptr;
   endpoint_registry* endpoints_ = nullptr;
+  entry_directory* directory_ = nullptr;
+  state_relay* relay_ = nullptr;
   std::optional<boost::asio::steady_timer> timer_;
   std::optional<boost::asio::steady_timer> removal_timer_;
 
@@ -80,6 +92,12 @@
   // meanwhile, and so may the next one that starts at once. Both are checked by
   // a listing: this one is still due.
   bool must_list_again_ = false;
+  network_address source_;  // Of the call that is running.
+  bool is_reader_ = false;  // Reads the store for others.
+  // Relays that failed in a row, and since when they are passed over.
+  std::size_t relay_failures_ = 0;
+  monotonic_time relays_failed_at_;
+  std::vector<store_change> listing_;  // Pages of the listing so far.
   int failures_in_row_ = 0;
   monotonic_time failing_since_;
   // Until when a removed entry may still come back, because the store was away.
--- /dev/null
+++ b/modules/state_feed/state_relay.cc
@@ -0,0 +1,168 @@
+// Kept changes and waiting watches of a relay.
+#include "modules/state_feed/state_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "drivers/event_loop.h"
+
+namespace papayakeel {
+
+namespace {
+
+// Changes kept for watches; a follower that is further behind lists again.
+constexpr std::size_t kMaxHistory = 4096;
+
+constexpr unsigned kHttp11 = 11;
+
+}  // namespace
+
+state_relay::state_relay(service_registry& registry,
+                         const entry_settings& settings,
+                         store_contract contract)
+    : registry_(registry),
+      settings_(settings),
+      contract_(std::move(contract)) {}
+
+state_relay::~state_relay() = default;
+
+void state_relay::Start() {
+  loop_ = registry_.Find<event_loop>(event_loop::kName);
+}
+
+void state_relay::Stop() {
+  is_stopped_ = true;
+  waiting_.clear();
+  if (listener_)
+    listener_->Close();
+}
+
+bool state_relay::Listen() {
+  http_listener_settings listener;
+  listener.listen = settings_.relay_listen;
+  http_listener_hooks hooks;
+  hooks.check_header = [](const http_request&, const network_address&) {
+    return header_decision{};
+  };
+  hooks.handle = [this](const http_exchange& exchange) { Handle(exchange); };
+  hooks.make_error = [](http::status status, std::string_view reason,
+                        const http_request*) {
+    http_response response(status, kHttp11);
+    response.body() = std::string(reason) + "\n";
+    return response;
+  };
+  listener_ = std::make_unique<http_listener>(loop_->context(), listener,
+                                              std::move(hooks));
+  return listener_->Start().has_value();
+}
+
+void state_relay::SetListing(const std::vector<store_change>& items,
+                             std::uint64_t as_of) {
+  items_.clear();
+  for (const store_change& item : items)
+    items_[item.key] = {item.revision, item.original};
+  history_.clear();
+  history_from_ = as_of;
+  as_of_ = as_of;
+  AnswerWaiting();
+}
+
+void state_relay::AddChanges(const std::vector<store_change>& changes,
+                             std::uint64_t as_of) {
+  for (const store_change& change : changes) {
+    if (std::holds_alternative<removed_entry>(change.value))
+      items_.erase(change.key);
+    else
+      items_[change.key] = {change.revision, change.original};
+    history_.push_back({change.revision, change.original});
+  }
+  while (history_.size() > kMaxHistory) {
+    history_from_ = history_.front().revision;
+    history_.pop_front();
+  }
+  as_of_ = std::max(as_of_, as_of);
+  AnswerWaiting();
+}
+
+void state_relay::SetFresh(bool is_fresh) {
+  is_fresh_ = is_fresh;
+  if (!is_fresh)
+    AnswerWaiting();
+}
+
+void state_relay::Handle(const http_exchange& exchange) {
+  const std::optional<store_question> question =
+      contract_.read_question(ToStringView(exchange.request.target()));
+  if (!question)
+    return exchange.respond(http_response(http::status::not_found, kHttp11));
+  const bool must_wait = question->is_watch && is_fresh_ &&
+                         question->after_revision >= as_of_ &&
+                         question->wait > time_span(0);
+  if (!must_wait)
+    return Answer(*question, exchange.respond);
+  waiting_.push_back({*question, exchange.respond,
+                      std::make_unique<boost::asio::steady_timer>(
+                          loop_->context(), question->wait)});
+  const auto waiting = std::prev(waiting_.end());
+  exchange.on_disconnect([this, waiting] {
+    if (!is_stopped_)
+      waiting_.erase(waiting);
+  });
+  waiting->timer->async_wait(
+      [this, waiting](const boost::system::error_code& error) {
+        if (error || is_stopped_)
+          return;
+        const waiting_watch ended = std::move(*waiting);
+        waiting_.erase(waiting);
+        Answer(ended.question, ended.respond);
+      });
+}
+
+void state_relay::AnswerWaiting() {
+  std::list<waiting_watch> due;
+  for (auto each = waiting_.begin(); each != waiting_.end();) {
+    const auto current = each++;
+    if (!is_fresh_ || current->question.after_revision < as_of_)
+      due.splice(due.end(), waiting_, current);
+  }
+  for (const waiting_watch& each : due)
+    Answer(each.question, each.respond);
+}
+
+void state_relay::Answer(const store_question& question,
+                         const std::function<void(http_response)>& respond) {
+  if (!is_fresh_) {
+    return respond(http_response(http::status::service_unavailable, kHttp11));
+  }
+  std::vector<std::string> originals;
+  if (!question.is_watch) {
+    for (const auto& [key, item] : items_)
+      originals.push_back(item.original);
+  } else if (question.after_revision < history_from_) {
+    http_response gone(http::status::ok, kHttp11);
+    gone.result(contract_.history_gone_status);
+    return respond(std::move(gone));
+  } else {
+    for (const kept_change& change : history_) {
+      if (change.revision > question.after_revision)
+        originals.push_back(change.original);
+    }
+  }
+  ++answers_;
+  http_response response(http::status::ok, kHttp11);
+  response.set(http::field::content_type, "application/json");
+  response.body() = contract_.write_answer(
+      question, originals, std::max(as_of_, question.after_revision));
+  respond(std::move(response));
+}
+
+nlohmann::json state_relay::DumpState() const {
+  return {{"items", items_.size()},
+          {"history", history_.size()},
+          {"as_of", as_of_},
+          {"fresh", is_fresh_},
+          {"waiting", waiting_.size()},
+          {"answers", answers_}};
+}
+
+}  // namespace papayakeel
--- /dev/null
+++ b/modules/state_feed/state_relay.h
@@ -0,0 +1,85 @@
+// Answers other entry VMs in place of the platform's store, from what this one
+// has read. In a large fleet a few entry VMs read the store and the others read
+// from them, since each call to the store has a price. A relay answers only
+// while its own reading is fresh, so that nobody trusts one that is cut off.
+#ifndef MODULES_STATE_FEED_STATE_RELAY_H_
+#define MODULES_STATE_FEED_STATE_RELAY_H_
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/service.h"
+#include "core/service_registry.h"
+#include "modules/http/http_listener.h"
+#include "modules/state_feed/store_contract.h"
+#include "servers/settings/entry_settings.h"
+
+namespace papayakeel {
+
+class event_loop;
+
+class state_relay : public service {
+ public:
+  static constexpr std::string_view kName = "state_relay";
+
+  state_relay(service_registry& registry,
+              const entry_settings& settings,
+              store_contract contract);
+  ~state_relay() override;
+
+  std::string_view name() const override { return kName; }
+  void Start() override;
+  void Stop() override;
+  nlohmann::json DumpState() const override;
+
+  // Opens the listener. Returns false when the address cannot be used.
+  bool Listen();
+
+  // What this process reads from the store: a whole listing, or changes. The
+  // change of an entry counts from its own revision on.
+  void SetListing(const std::vector<store_change>& items, std::uint64_t as_of);
+  void AddChanges(const std::vector<store_change>& changes,
+                  std::uint64_t as_of);
+  // The store has just answered, or does not answer any more.
+  void SetFresh(bool is_fresh);
+
+ private:
+  struct kept_change {
+    std::uint64_t revision = 0;
+    std::string original;
+  };
+  struct waiting_watch {
+    store_question question;
+    std::function<void(http_response)> respond;
+    std::unique_ptr<boost::asio::steady_timer> timer;
+  };
+
+  void Handle(const http_exchange& exchange);
+  void Answer(const store_question& question,
+              const std::function<void(http_response)>& respond);
+  void AnswerWaiting();
+
+  service_registry& registry_;
+  const entry_settings settings_;
+  const store_contract contract_;
+  event_loop* loop_ = nullptr;
+  std::unique_ptr<http_listener> listener_;
+  std::map<std::string, kept_change> items_;  // By key.
+  std::deque<kept_change> history_;           // Oldest first.
+  std::uint64_t as_of_ = 0;
+  std::uint64_t history_from_ = 0;  // Changes after this revision are kept.
+  bool is_fresh_ = false;
+  std::list<waiting_watch> waiting_;
+  std::uint64_t answers_ = 0;
+  bool is_stopped_ = false;
+};
+
+}  // namespace papayakeel
+
+#endif  // MODULES_STATE_FEED_STATE_RELAY_H_
--- a/modules/state_feed/store_contract.h
+++ b/modules/state_feed/store_contract.h
@@ -45,6 +45,15 @@
                endpoint_entry,
                desired_state_pointer>
       value;
+  // The change as the store wrote it, to pass it on.
+  std::string original;
+};
+
+// A question that another entry VM asks in place of the store.
+struct store_question {
+  bool is_watch = false;
+  std::uint64_t after_revision = 0;  // Watches only.
+  time_span wait{0};                 // Watches only.
 };
 
 // One page of a listing, or the changes since a revision.
@@ -67,6 +76,16 @@
       read_list;
   std::function<store_page_result(unsigned status, std::string_view body)>
       read_watch;
+
+  // The same from the other side, for a relay: reads a request target, and
+  // writes an answer from changes as the store wrote them.
+  std::function<std::optional<store_question>(std::string_view target)>
+      read_question;
+  std::function<std::string(const store_question& question,
+                            const std::vector<std::string>& originals,
+                            std::uint64_t as_of)>
+      write_answer;
+  unsigned history_gone_status = 0;
 };
 
 }  // namespace papayakeel
--- a/servers/membership/gossip_protocol.cc
+++ b/servers/membership/gossip_protocol.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxRelays = 64;
 constexpr std::size_t kContestedPerTick = 2;
 constexpr std::size_t kFirstContacts = 3;
+// First time after a table request at which a table that still differs is asked
+// for again; doubles up to the patience.
+constexpr std::chrono::milliseconds kFirstCatchUpGap{800};
 // Stops two members that hold each other dead from exchanging tables as fast
 // as the network allows.
 constexpr std::chrono::milliseconds kTableRequestGap{500};
@@ -271,12 +274,8 @@
   }
   const bool has_digest = message.type == peer_message_type::kPing ||
                           message.type == peer_message_type::kAck;
-  const bool is_settled =
-      now - last_change_ >= settings_.digest_patience &&
-      (!last_table_request_ ||
-       now - *last_table_request_ >= settings_.digest_patience);
-  if (has_digest && is_settled && message.digest != table_.Digest())
-    AskForTable(sender.peer_address, now);
+  if (has_digest)
+    CompareDigest(message, now);
 
   // The sender refutes once it hears what is held against it; an answer
   // carries that, other messages need a ping.
@@ -317,6 +316,26 @@
   Send(message.target, std::move(ping));
 }
 
+void gossip_protocol::CompareDigest(const peer_message& message,
+                                    monotonic_time now) {
+  if (message.digest == table_.Digest()) {
+    catch_up_gap_ = kFirstCatchUpGap;
+    return;
+  }
+  const time_span since_request =
+      last_table_request_ ? now - *last_table_request_ : time_span::max();
+  const bool is_settled = now - last_change_ >= settings_.digest_patience &&
+                          since_request >= settings_.digest_patience;
+  // When many members join at once, tables change all the time and no one is
+  // settled; news on pings alone would take minutes.
+  const bool must_catch_up = since_request >= catch_up_gap_;
+  if (!is_settled && !must_catch_up)
+    return;
+  catch_up_gap_ =
+      std::min<time_span>(catch_up_gap_ * 2, settings_.digest_patience);
+  AskForTable(message.sender.peer_address, now);
+}
+
 void gossip_protocol::OnAck(const peer_message& message) {
   if (probe_ && probe_->number == message.number)
     probe_.reset();
--- a/servers/membership/gossip_protocol.h
+++ b/servers/membership/gossip_protocol.h
@@ -138,6 +138,8 @@
   void Send(const network_address& to, peer_message message);
   void AddUpdates(const network_address& to, peer_message& message);
   void OnPingRequest(const peer_message& message, monotonic_time now);
+  // Asks for the sender's table when it has differed from the own one too long.
+  void CompareDigest(const peer_message& message, monotonic_time now);
   void OnAck(const peer_message& message);
   void FlushEvents(monotonic_time now);
   std::optional<member_key> NextTarget();
@@ -155,6 +157,9 @@
   monotonic_time next_period_;
   monotonic_time next_contact_;
   std::optional<monotonic_time> last_table_request_;
+  // Time after a table request at which the next one is due while the tables
+  // differ.
+  time_span catch_up_gap_ = std::chrono::milliseconds(800);
   monotonic_time last_change_;  // Of the table.
   std::optional<probe> probe_;
   std::list<relay> relays_;  // Bounded; oldest first.
--- a/servers/membership/member.h
+++ b/servers/membership/member.h
@@ -24,6 +24,10 @@
   network_address caller_address;  // Where callers connect.
   std::string availability_zone;
 
+  // Processor capacity in thousandths of a core; 0 when it is not known. Set at
+  // the start of the process.
+  std::uint64_t capacity = 0;
+
   // Drawn at process start; tells a replaced process from its predecessor.
   std::uint64_t incarnation = 0;
   // Raised by the member itself to refute a suspicion; compared only within
--- a/servers/membership/peer_message_codec.cc
+++ b/servers/membership/peer_message_codec.cc
@@ -173,6 +173,8 @@
     map["n"] = record.counter;
   if (record.state != member_state::kAlive)
     map["s"] = static_cast<std::uint64_t>(record.state);
+  if (record.capacity != 0)
+    map["p"] = record.capacity;
   if (!record.epoch.empty())
     map["e"] = record.epoch;
   if (record.bundle_version != 0)
@@ -195,6 +197,7 @@
   record.counter = reader.Number("n");
   record.state = static_cast<member_state>(
       reader.Number("s", static_cast<std::uint64_t>(member_state::kDead)));
+  record.capacity = reader.Number("p");
   record.epoch = reader.Text("e");
   record.bundle_version = reader.Number("b");
   record.bundle_hash = reader.Number("h");
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -13,6 +13,9 @@
 // state 150 ms.
 constexpr time_span kSlowPhase = std::chrono::milliseconds(150);
 
+// A report this old is used without asking again: one in ten is wrong by then.
+constexpr time_span kFreshReport = std::chrono::milliseconds(20);
+
 // Slowdown assumed when nothing is known: a quarter of the time at 5 times.
 constexpr double kUsualSlowdown = 1.6;
 
@@ -216,28 +219,34 @@
   return slowdown;
 }
 
-time_span endpoint_slots::ExpectedTime(time_span work,
-                                       double crowding,
-                                       monotonic_time now) const {
+endpoint_outlook endpoint_slots::Outlook(monotonic_time now) const {
+  endpoint_outlook outlook;
   const double age = std::min(ToMilliseconds(ReportAge(now)), 1e6);
   const double kept = std::exp(-age / ToMilliseconds(kSlowPhase));
   const double reported =
       load_ ? std::max(load_->slowdown, 0.1) : kUsualSlowdown;
-  const double factor = kept * reported + (1 - kept) * kUsualSlowdown;
-  double expected = ToMilliseconds(work) * factor;
+  outlook.slowdown = kept * reported + (1 - kept) * kUsualSlowdown;
+  outlook.multiplier = Straggling(now) * (1 + kFailureCost * failure_rate_);
+  if (now < warm_at_)
+    outlook.multiplier *= kColdFactor;
+  outlook.is_nearly_full = IsNearlyFull(now);
+  outlook.is_fresh = ReportAge(now) <= kFreshReport;
+  outlook.is_probing = IsProbing();
+  return outlook;
+}
+
+time_span endpoint_outlook::ExpectedTime(time_span work,
+                                         double crowding) const {
+  double expected = ToMilliseconds(work) * slowdown;
   // A slow phase ends; the rest of the work then takes its usual time.
-  if (factor > 1) {
+  if (slowdown > 1) {
     expected =
         std::min(expected, ToMilliseconds(work) +
-                               (1 - 1 / factor) * ToMilliseconds(kSlowPhase));
+                               (1 - 1 / slowdown) * ToMilliseconds(kSlowPhase));
   }
-  if (IsNearlyFull(now))
+  if (is_nearly_full)
     expected *= crowding;
-  if (now < warm_at_)
-    expected *= kColdFactor;
-  expected *= Straggling(now);
-  expected *= 1 + kFailureCost * failure_rate_;
-  return FromMilliseconds(expected);
+  return FromMilliseconds(expected * multiplier);
 }
 
 }  // namespace papayakeel
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -14,6 +14,20 @@
 
 namespace papayakeel {
 
+// What an attempt may expect of an endpoint. Computed once for all requests
+// that wait, since it does not depend on the request.
+struct endpoint_outlook {
+  double slowdown = 1;    // Of work at this moment; ends with a slow phase.
+  double multiplier = 1;  // For a cold, straggling or failing endpoint.
+  bool is_nearly_full = false;  // One more attempt fills the endpoint.
+  bool is_fresh = false;        // The endpoint has just reported.
+  bool is_probing = false;
+
+  // Expected time of work of this usual time. On an endpoint that it fills,
+  // work takes `crowding` times as long.
+  time_span ExpectedTime(time_span work, double crowding) const;
+};
+
 class endpoint_slots {
  public:
   endpoint_slots(endpoint_entry entry,
@@ -62,11 +76,8 @@
   // Whether one more attempt would fill the endpoint.
   bool IsNearlyFull(monotonic_time now) const;
 
-  // Expected time of one more attempt of usual time `work` that starts now.
-  // On an endpoint that it fills, work takes `crowding` times as long.
-  time_span ExpectedTime(time_span work,
-                         double crowding,
-                         monotonic_time now) const;
+  // What one more attempt that starts now may expect here.
+  endpoint_outlook Outlook(monotonic_time now) const;
 
  private:
   struct running_attempt {
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -9,10 +9,6 @@
 
 namespace {
 
-// A report this old is used without asking again. Slow phases last about
-// 150 ms, so that one in ten reports is wrong by then.
-constexpr time_span kFreshReport = std::chrono::milliseconds(20);
-
 // Longest wait for the answers to probes. A probe takes 2 ms on a calm path.
 constexpr time_span kProbeWait = std::chrono::milliseconds(12);
 
@@ -25,13 +21,12 @@
 // many times its usual time there.
 constexpr double kFastEnough = 1.35;
 
-// Share of the endpoints that must be empty, beyond those that waiting requests
-// will take, before capacity is spent on waiting for a faster one or on hedges.
+// Share of the endpoints that must be idle before capacity is spent on hedges.
 constexpr double kSpareShare = 0.2;
 
 // Probes for each waiting request, and at most at a time.
 constexpr int kProbesPerRequest = 3;
-constexpr std::size_t kMaxProbesAtATime = 8;
+constexpr std::size_t kMaxProbesAtATime = 32;
 
 // A request is hedged when it takes this many times its usual time.
 constexpr double kHedgeAfter = 1.5;
@@ -84,8 +79,9 @@
 // Wait told when no endpoint is known; lists change within about this time.
 constexpr time_span kNoEndpointRetryAfter = std::chrono::milliseconds(500);
 
-// Waiting requests looked at in one pass, which bounds its cost.
-constexpr int kMaxPlacements = 64;
+// Waiting requests in a row that find no endpoint before a pass ends, which
+// bounds its cost: the next ones hardly fare better.
+constexpr int kMaxUnplaced = 8;
 
 // How often waiting requests are checked for their deadline.
 constexpr time_span kCheckInterval = std::chrono::milliseconds(25);
@@ -322,14 +318,16 @@
 }
 
 void slot_scheduler::Pump(monotonic_time now) {
-  int looked_at = 0;
-  for (auto each = waiting_.begin();
-       each != waiting_.end() && looked_at < kMaxPlacements; ++looked_at) {
-    request_record& record = *each->second;
-    // Place may remove the entry.
-    ++each;
-    if (Place(record, now) == placing::kFull)
-      break;
+  if (!waiting_.empty()) {
+    std::vector<candidate> free = FreeEndpoints(now);
+    int unplaced = 0;
+    for (auto each = waiting_.begin();
+         each != waiting_.end() && !free.empty() && unplaced < kMaxUnplaced;) {
+      request_record& record = *each->second;
+      // Place may remove the entry.
+      ++each;
+      unplaced = Place(record, free, now) ? 0 : unplaced + 1;
+    }
   }
   if (!waiting_.empty()) {
     Wake(now + kCheckInterval);
@@ -338,74 +336,78 @@
   }
 }
 
-slot_scheduler::placing slot_scheduler::Place(request_record& record,
-                                              monotonic_time now) {
-  if (!HasFreeSlot(now))
-    return placing::kFull;
-  const std::vector<endpoint_slots*> candidates = Candidates(record, now);
-  if (candidates.empty())
-    return placing::kNoSlot;
-  if (record.wants_hedge && !repeats_.CanRepeat(now))
-    return placing::kNoSlot;
-  const time_span work = WorkOf(record.request);
-  if (!record.choosing_since)
-    record.choosing_since = now;
-  const time_span chosen_for = now - *record.choosing_since;
-  endpoint_slots& best = **std::min_element(
-      candidates.begin(), candidates.end(),
-      [&](const endpoint_slots* left, const endpoint_slots* right) {
-        return Cost(record, *left, now) < Cost(record, *right, now);
-      });
-  const bool is_fresh = best.ReportAge(now) <= kFreshReport;
-  const double ratio = ToMilliseconds(best.ExpectedTime(work, 1, now)) /
-                       std::max(ToMilliseconds(work), 1.0);
-  if (is_fresh && ratio <= kFastEnough) {
-    Grant(record, best, now);
-    return placing::kGranted;
-  }
-  const bool is_asking = ProbeCandidates(record, candidates, now);
-  if (is_asking && chosen_for < kProbeWait) {
-    Wake(*record.choosing_since + kProbeWait);
-    return placing::kChoosing;
-  }
-  // Every endpoint that was asked is slow. Waiting helps while the request can
-  // still meet its goal.
-  const time_span slack =
-      std::max(LatestStart(record.request) - now, time_span(0));
-  // A late request loses nothing by waiting.
-  const bool is_timely = !record.was_late;
-  const bool may_hold =
-      ratio > kFastEnough &&
-      chosen_for < (is_timely ? std::min(kHoldLimit, slack) : kHoldLimit);
-  if (may_hold) {
-    Wake(now + kAskAgain);
-    return placing::kChoosing;
-  }
-  Grant(record, best, now);
-  return placing::kGranted;
-}
-
-std::vector<endpoint_slots*> slot_scheduler::Candidates(
-    const request_record& record,
+std::vector<slot_scheduler::candidate> slot_scheduler::FreeEndpoints(
     monotonic_time now) {
-  std::vector<endpoint_slots*> candidates;
+  std::vector<candidate> free;
   for (auto& [id, endpoint] : endpoints_) {
     const bool is_free = endpoint.IsUsable() && !endpoint.IsEjected(now) &&
                          endpoint.FreeSlots(now) > 0;
-    if (!is_free || record.tried.count(id) > 0)
-      continue;
-    if (!endpoint.IsNearlyFull(now) || MayCrowd(record, endpoint, now))
-      candidates.push_back(&endpoint);
+    if (is_free)
+      free.push_back({&endpoint, endpoint.Outlook(now)});
+  }
+  return free;
+}
+
+bool slot_scheduler::Place(request_record& record,
+                           std::vector<candidate>& free,
+                           monotonic_time now) {
+  if (record.wants_hedge && !repeats_.CanRepeat(now))
+    return false;
+  const double crowding = Crowding();
+  std::vector<std::pair<time_span, std::size_t>> choices;
+  for (std::size_t index = 0; index < free.size(); ++index) {
+    const candidate& each = free[index];
+    const bool is_tried = record.tried.count(each.endpoint->entry().id) > 0;
+    const bool is_allowed = !each.outlook.is_nearly_full ||
+                            MayCrowd(record, each.outlook, crowding, now);
+    if (!is_tried && is_allowed)
+      choices.emplace_back(Cost(record, each, crowding), index);
+  }
+  if (choices.empty())
+    return false;
+  if (!record.choosing_since)
+    record.choosing_since = now;
+  const time_span chosen_for = now - *record.choosing_since;
+  const std::size_t best =
+      std::min_element(choices.begin(), choices.end())->second;
+  const endpoint_outlook& outlook = free[best].outlook;
+  const time_span work = WorkOf(record.request);
+  const bool is_fast =
+      outlook.ExpectedTime(work, 1) <= Scale(work, kFastEnough);
+  if (!outlook.is_fresh || !is_fast) {
+    const bool is_asking = ProbeCandidates(choices, free, now);
+    if (is_asking && chosen_for < kProbeWait) {
+      Wake(*record.choosing_since + kProbeWait);
+      return false;
+    }
+    // Every endpoint that was asked is slow. Waiting helps while the request
+    // can still meet its goal; a late one loses nothing.
+    const time_span slack =
+        std::max(LatestStart(record.request) - now, time_span(0));
+    const time_span hold =
+        record.was_late ? kHoldLimit : std::min(kHoldLimit, slack);
+    if (!is_fast && chosen_for < hold) {
+      Wake(now + kAskAgain);
+      return false;
+    }
   }
-  return candidates;
+  endpoint_slots& endpoint = *free[best].endpoint;
+  Grant(record, endpoint, now);
+  if (endpoint.FreeSlots(now) > 0) {
+    free[best].outlook = endpoint.Outlook(now);
+  } else {
+    free.erase(free.begin() + static_cast<std::ptrdiff_t>(best));
+  }
+  return true;
 }
 
 time_span slot_scheduler::Cost(const request_record& record,
-                               const endpoint_slots& endpoint,
-                               monotonic_time now) const {
+                               const candidate& choice,
+                               double crowding) const {
   time_span cost =
-      endpoint.ExpectedTime(WorkOf(record.request), Crowding(), now);
-  if (endpoint.entry().availability_zone != record.request.availability_zone) {
+      choice.outlook.ExpectedTime(WorkOf(record.request), crowding);
+  if (choice.endpoint->entry().availability_zone !=
+      record.request.availability_zone) {
     cost += kZoneCost + kZoneCostPerKilobyte *
                             static_cast<int>(record.request.bytes / 1024);
   }
@@ -413,29 +415,26 @@
 }
 
 bool slot_scheduler::ProbeCandidates(
-    const request_record& record,
-    const std::vector<endpoint_slots*>& candidates,
+    std::vector<std::pair<time_span, std::size_t>> choices,
+    std::vector<candidate>& free,
     monotonic_time now) {
-  std::vector<std::pair<time_span, endpoint_slots*>> unknown;
   std::size_t outstanding = 0;
-  for (endpoint_slots* each : candidates) {
-    if (each->IsProbing()) {
-      ++outstanding;
-    } else if (each->ReportAge(now) > kFreshReport) {
-      unknown.emplace_back(Cost(record, *each, now), each);
-    }
-  }
-  std::sort(unknown.begin(), unknown.end());
+  for (const candidate& each : free)
+    outstanding += each.outlook.is_probing ? 1 : 0;
   const std::size_t wanted =
       std::min(kMaxProbesAtATime, waiting_.size() * kProbesPerRequest);
-  for (const auto& [cost, endpoint] : unknown) {
+  std::sort(choices.begin(), choices.end());
+  for (const auto& [cost, index] : choices) {
     if (outstanding >= wanted)
       break;
-    if (!endpoint->TryProbe(now))
+    candidate& each = free[index];
+    const bool needs_probe = !each.outlook.is_probing && !each.outlook.is_fresh;
+    if (!needs_probe || !each.endpoint->TryProbe(now))
       continue;
     ++outstanding;
     ++counters_.probes;
-    hooks_.probe(endpoint->entry());
+    each.outlook.is_probing = true;
+    hooks_.probe(each.endpoint->entry());
   }
   return outstanding > 0;
 }
@@ -629,17 +628,17 @@
 }
 
 bool slot_scheduler::MayCrowd(const request_record& record,
-                              const endpoint_slots& endpoint,
+                              const endpoint_outlook& outlook,
+                              double crowding,
                               monotonic_time now) const {
   if (record.wants_hedge)
     return false;
-  if (Crowding() < kSlightCrowding)
+  if (crowding < kSlightCrowding)
     return true;
   const slot_request& request = record.request;
-  const time_span work = WorkOf(request);
-  const time_span expected = endpoint.ExpectedTime(work, kHopefulCrowding, now);
-  const monotonic_time goal_at = request.arrival + request.goal;
-  return now + expected <= goal_at;
+  const time_span expected =
+      outlook.ExpectedTime(WorkOf(request), kHopefulCrowding);
+  return now + expected <= request.arrival + request.goal;
 }
 
 void slot_scheduler::NoteLateStart(monotonic_time now) {
@@ -661,14 +660,6 @@
       {told, kLongestRetryAfter, std::max(heeded, kShortestRetryAfter)});
 }
 
-bool slot_scheduler::HasFreeSlot(monotonic_time now) const {
-  return std::any_of(
-      endpoints_.begin(), endpoints_.end(), [now](const auto& each) {
-        return each.second.IsUsable() && !each.second.IsEjected(now) &&
-               each.second.FreeSlots(now) > 0;
-      });
-}
-
 bool slot_scheduler::HasSpareEndpoints(monotonic_time now) const {
   int usable = 0;
   int empty = 0;
@@ -678,7 +669,7 @@
     ++usable;
     empty += !endpoint.IsEjected(now) && endpoint.Busy(now) == 0 ? 1 : 0;
   }
-  return empty - static_cast<int>(waiting_.size()) > kSpareShare * usable;
+  return empty > kSpareShare * usable;
 }
 
 bool slot_scheduler::HasUsableEndpoint() const {
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -113,24 +113,26 @@
     }
   };
 
-  enum class placing {
-    kGranted,
-    kChoosing,  // Waits for probes or for a faster endpoint.
-    kNoSlot,    // None that this request may use.
-    kFull,      // None at all.
+  // An endpoint with a free slot.
+  struct candidate {
+    endpoint_slots* endpoint = nullptr;
+    endpoint_outlook outlook;
   };
 
   void Pump(monotonic_time now);
-  placing Place(request_record& record, monotonic_time now);
-  std::vector<endpoint_slots*> Candidates(const request_record& record,
-                                          monotonic_time now);
+  std::vector<candidate> FreeEndpoints(monotonic_time now);
+  // Places one waiting request. Returns false when it goes on waiting, for
+  // probes or for a better endpoint.
+  bool Place(request_record& record,
+             std::vector<candidate>& free,
+             monotonic_time now);
   time_span Cost(const request_record& record,
-                 const endpoint_slots& endpoint,
-                 monotonic_time now) const;
-  // Probes the most promising candidates that have no fresh report. Returns
-  // whether a probe is on its way to one of them.
-  bool ProbeCandidates(const request_record& record,
-                       const std::vector<endpoint_slots*>& candidates,
+                 const candidate& choice,
+                 double crowding) const;
+  // Probes the most promising of the choices (cost and index in `free`) that
+  // have no fresh report. Returns whether any probe is on its way.
+  bool ProbeCandidates(std::vector<std::pair<time_span, std::size_t>> choices,
+                       std::vector<candidate>& free,
                        monotonic_time now);
   void Grant(request_record& record,
              endpoint_slots& endpoint,
@@ -148,7 +150,8 @@
   // Whether the request can take the last slot of an endpoint and still meet
   // its goal there.
   bool MayCrowd(const request_record& record,
-                const endpoint_slots& endpoint,
+                const endpoint_outlook& outlook,
+                double crowding,
                 monotonic_time now) const;
   // Slots that become free in a second.
   double ServiceRate() const;
@@ -160,7 +163,6 @@
   time_span RetryAfter(const slot_request& request,
                        time_span wait,
                        monotonic_time now);
-  bool HasFreeSlot(monotonic_time now) const;
   // Whether endpoints are idle that no waiting request needs.
   bool HasSpareEndpoints(monotonic_time now) const;
   bool HasUsableEndpoint() const;
--- a/servers/settings/entry_settings.h
+++ b/servers/settings/entry_settings.h
@@ -26,8 +26,13 @@
   network_address metrics_listen;    // Operators: metrics, state, health.
   std::vector<network_address> peer_seeds;
 
+  network_address relay_listen;  // Entry VMs that read the store through us.
+
   network_address store;
 
+  // Processor capacity in thousandths of a core.
+  std::uint64_t capacity = 1000;
+
   std::size_t memory_limit_bytes = 256 * 1024 * 1024;
   std::size_t descriptor_limit = 4096;
 
