--- a/misc/scripts/check_style.sh
+++ b/misc/scripts/check_style.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/../.."
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.h' '*.cc')
 clang-format --dry-run --Werror "${files[@]}"
+misc/scripts/check_platform_names.sh
 [ "${1:-}" != "--format-only" ] || exit 0
 mapfile -t sources < <(git ls-files --cached --others --exclude-standard '*.cc' | grep -v '^tests/fuzz/')
 printf '%s\n' "${sources[@]}" |
--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -38,13 +38,14 @@
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstFinalStatus = 200;
 
+constexpr std::string_view kTimeoutName = "timeout=";
+
 // Returns the seconds of `timeout=N` in a Keep-Alive header.
 std::optional<int> IdleSeconds(std::string_view value) {
-  constexpr std::string_view kName = "timeout=";
-  const std::size_t found = value.find(kName);
+  const std::size_t found = value.find(kTimeoutName);
   if (found == std::string_view::npos)
     return std::nullopt;
-  value.remove_prefix(found + kName.size());
+  value.remove_prefix(found + kTimeoutName.size());
   int seconds = 0;
   const std::from_chars_result parsed =
       std::from_chars(value.data(), value.data() + value.size(), seconds);
--- a/servers/scheduling/work_estimate.h
+++ b/servers/scheduling/work_estimate.h
@@ -19,11 +19,6 @@
 
   // Adds the time of one answer.
   void Add(time_span elapsed) {
-    // The share of answers below the usual time; the others met a slow
-    // endpoint or unusual work.
-    constexpr double kUsualQuantile = 0.4;
-    // Stragglers say more about the endpoint than about the work.
-    constexpr double kLargestRatio = 5;
     const double sample =
         std::min(ToMilliseconds(elapsed), kLargestRatio * mean_ms_);
     mean_ms_ += weight_ * (sample - mean_ms_);
@@ -38,6 +33,12 @@
   time_span mean() const { return FromMilliseconds(mean_ms_); }
 
  private:
+  // The share of answers below the usual time; the others met a slow endpoint
+  // or unusual work.
+  static constexpr double kUsualQuantile = 0.4;
+  // Stragglers say more about the endpoint than about the work.
+  static constexpr double kLargestRatio = 5;
+
   double weight_;
   double usual_ms_;
   double mean_ms_;
