--- a/misc/stand_ins/caller/main.cc
+++ b/misc/stand_ins/caller/main.cc
@@ -4,9 +4,9 @@
 #include <cstdio>
 #include <string>
 
-#include "misc/stand_ins/caller/load_generator.h"
 #include "drivers/event_loop.h"
 #include "drivers/popt_string.h"
+#include "misc/stand_ins/caller/load_generator.h"
 
 int main(int argument_count, const char** arguments) {
   papayakeel::load_settings settings;
--- a/misc/stand_ins/platform/main.cc
+++ b/misc/stand_ins/platform/main.cc
@@ -7,9 +7,9 @@
 #include <string>
 
 #include "core/network_address.h"
-#include "misc/stand_ins/platform/platform_stand_in.h"
 #include "drivers/event_loop.h"
 #include "drivers/popt_string.h"
+#include "misc/stand_ins/platform/platform_stand_in.h"
 
 int main(int argument_count, const char** arguments) {
   char* listen_option = nullptr;
--- a/misc/stand_ins/server/main.cc
+++ b/misc/stand_ins/server/main.cc
@@ -5,9 +5,9 @@
 #include <string>
 
 #include "core/network_address.h"
-#include "misc/stand_ins/server/server_stand_in.h"
 #include "drivers/event_loop.h"
 #include "drivers/popt_string.h"
+#include "misc/stand_ins/server/server_stand_in.h"
 
 int main(int argument_count, const char** arguments) {
   char* listen_option = nullptr;
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -187,8 +187,8 @@
                     " HTTP/1.1\r\nHost: " + endpoint.address.ToString() +
                     "\r\n\r\n";
   exchange.deadline = event_loop::Now() + kProbeTimeout;
-  link_->Begin(std::move(exchange), [this, service_name,
-                                     id = endpoint.id](endpoint_result result) {
+  link_->Begin(std::move(exchange), [this, service_name, id = endpoint.id](
+                                        const endpoint_result& result) {
     const auto owned = owned_.find(service_name);
     if (is_stopped_ || owned == owned_.end())
       return;
