--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -174,6 +174,8 @@
   const time_span left = request.deadline - now;
   if (left <= Scale(WorkOf(request), kLeastWork))
     return Reject(request.key, slot_refusal::kDeadline, time_span(0));
+  if (is_repeat)
+    ReserveRepeat(record, now);
   Enqueue(record, false, now);
   const queue_key position = queue_keys_.at(request.key);
   const time_span wait = ExpectedWait(position, now);
@@ -256,6 +258,7 @@
     Pump(now);
     return;
   }
+  ReserveRepeat(record, now);
   Dequeue(record);
   Enqueue(record, false, now);
   Pump(now);
@@ -453,7 +456,8 @@
     NoteLateStart(now);
   Dequeue(record);
   if (record.attempts > 0) {
-    repeats_.CountRepeat(now);
+    ReserveRepeat(record, now);
+    record.has_reserved_repeat = false;
     ++(is_hedge ? counters_.hedges : counters_.retries);
   }
   ++record.attempts;
@@ -472,6 +476,14 @@
   hooks_.grant({record.request.key, attempt, endpoint.entry(), is_hedge});
 }
 
+void slot_scheduler::ReserveRepeat(request_record& record, monotonic_time now) {
+  // Counted when it is decided, so that attempts that break together don't all
+  // find the budget unspent.
+  if (!record.has_reserved_repeat)
+    repeats_.CountRepeat(now);
+  record.has_reserved_repeat = true;
+}
+
 void slot_scheduler::Reject(const request_key& key,
                             slot_refusal reason,
                             time_span retry_after) {
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -99,7 +99,8 @@
     std::set<std::string> tried;  // Endpoints that failed or run it.
     std::map<std::uint64_t, running_attempt> running;
     std::optional<monotonic_time> choosing_since;
-    monotonic_time hedge_at;  // When a second attempt becomes due.
+    monotonic_time hedge_at;           // When a second attempt becomes due.
+    bool has_reserved_repeat = false;  // Its next attempt is in the budget.
     bool may_have_run = false;
   };
   // Order in which waiting requests are placed.
@@ -139,6 +140,7 @@
   void Grant(request_record& record,
              endpoint_slots& endpoint,
              monotonic_time now);
+  void ReserveRepeat(request_record& record, monotonic_time now);
   void Reject(const request_key& key,
               slot_refusal reason,
               time_span retry_after);
--- a/tests/servers/scheduling/slot_scheduler_test.cc
+++ b/tests/servers/scheduling/slot_scheduler_test.cc
@@ -124,6 +124,27 @@
   CHECK(run.grants[0].endpoint.id != run.grants[1].endpoint.id);
 }
 
+// Guards against many attempts that break together and each find the budget
+// unspent, because none of their repeats has been granted yet.
+TEST(slot_scheduler, AttemptsThatBreakTogetherShareTheBudget) {
+  recorded_scheduler run;
+  run.SetEndpoints(40);
+  const std::uint64_t requests = 30;
+  for (std::uint64_t number = 1; number <= requests; ++number)
+    run.scheduler().Submit(run.MakeRequest(number, true), run.now);
+  run.RunFor(milliseconds(60));
+  const std::vector<slot_grant> first = run.grants;
+  CHECK(first.size() >= 25);
+  // No slot is free while the attempts break.
+  for (const slot_grant& grant : first) {
+    run.scheduler().Report(grant.request, grant.attempt,
+                           attempt_outcome::kBroken, std::nullopt, run.now);
+  }
+  run.RunFor(milliseconds(300));
+  // 0.2 for each request and 5 besides.
+  CHECK(run.grants.size() - first.size() <= 0.2 * requests + 5);
+}
+
 // Guards against more attempts than the route allows.
 TEST(slot_scheduler, MaxAttemptsHold) {
   recorded_scheduler run;
