--- a/main/daemon/entry_daemon.cc
+++ b/main/daemon/entry_daemon.cc
@@ -226,7 +226,6 @@
 }
 
 void entry_daemon::BeginShutdown() {
-  is_leaving_ = true;
   Log(log_level::kInfo, "leaving");
   registry_.Find<entry_gateway>(entry_gateway::kName)->BeginDrain();
   registry_.Find<entry_directory>(entry_directory::kName)
--- a/main/daemon/entry_daemon.h
+++ b/main/daemon/entry_daemon.h
@@ -56,7 +56,6 @@
   std::optional<boost::asio::steady_timer> reload_timer_;
   monotonic_time drain_began_;
   std::map<network_address, member_state> members_seen_;
-  bool is_leaving_ = false;
   bool has_stopped_accepting_ = false;
   int exit_status_ = 0;
 };
--- a/servers/routing/route_table.cc
+++ b/servers/routing/route_table.cc
@@ -46,8 +46,4 @@
   return nullptr;
 }
 
-bool route_table::HasHost(std::string_view host) const {
-  return hosts_.count(NormalizeHost(host)) > 0;
-}
-
 }  // namespace papayakeel
--- a/servers/routing/route_table.h
+++ b/servers/routing/route_table.h
@@ -20,9 +20,6 @@
   // any letter case; `target` is the request target with its query.
   const route* Find(std::string_view host, std::string_view target) const;
 
-  // Whether any route names `host`.
-  bool HasHost(std::string_view host) const;
-
   const desired_state& state() const { return *state_; }
 
  private:
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -42,7 +42,6 @@
   const endpoint_entry& entry() const { return entry_; }
   bool IsUsable() const { return is_listed_ && !entry_.is_leaving; }
   bool IsEjected(monotonic_time now) const { return now < ejected_until_; }
-  monotonic_time ejected_until() const { return ejected_until_; }
   // Attempts in flight that this scheduler granted or took over.
   int in_flight() const { return static_cast<int>(running_.size()); }
 
