Send callers to large VMs and split large services among owners

Callers were spread over VMs with a tenth of a core and 10 Mbit/s, which delayed uploads and used a new connection for almost every request.

A service of more than 96 endpoints is split into shards with an owner each; callers are told the largest VMs of their zone up to one core; a grant that does not come from the current owner is refused and given back. Grant and refusal lines of owners bear the caller's request id.

Ruled out: the budget of a single owner (0.8 of the ratio and a quarter of the slack), which sums to the limit only with nine owners in a window.

--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -7,6 +7,7 @@
 
 passed=0
 failed=0
+failures_found=()
 known_red=()
 if [ -f KNOWN-RED.txt ]; then
   # Entries start with "test: GROUP.NAME".
@@ -33,6 +34,11 @@
   # A program that dies has no summary; that counts as one failure.
   if [ "$status" -ne 0 ] && [ "$failures" -eq 0 ]; then failures=1; fi
   [ "$status" -eq 0 ] || tail -n 100 "$log.err"
+  while read -r name; do failures_found+=("$program: $name"); done \
+    < <(grep -E 'error: Failure in TEST' "$log" | sed 's/.*Failure in //')
+  if [ "$status" -ne 0 ] && [ -z "$summary" ]; then
+    failures_found+=("$program: ended with status $status")
+  fi
   passed=$((passed + (ran > failures ? ran - failures : 0)))
   failed=$((failed + failures))
   rm -f "$log" "$log.err"
@@ -57,6 +63,7 @@
     passed=$((passed + 1))
   else
     failed=$((failed + 1))
+    failures_found+=("$*")
   fi
 }
 
@@ -69,5 +76,7 @@
 run_command build/papayakeel_bench --check --seed 1 --deployment norrsken,hsinyuan \
   --scenario steady,straggler,noisy,overload --policy papayakeel,p2c,perfect
 
+# Logs of long runs are cut, so failures are named once more at the end.
+for name in "${failures_found[@]}"; do echo "failed: $name"; done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -15,6 +15,7 @@
 #include "modules/metrics/metrics_service.h"
 #include "modules/state_feed/state_feed.h"
 #include "servers/membership/entry_directory.h"
+#include "servers/placement/caller_placement.h"
 #include "servers/routing/state_board.h"
 
 namespace papayakeel {
@@ -34,7 +35,6 @@
 // Addresses in one answer.
 constexpr std::size_t kMaxAddresses = 64;
 // Entry VMs in the caller's availability zone that are enough for it.
-constexpr std::size_t kEnoughInZone = 2;
 
 // Told to callers while no desired state is known.
 constexpr time_span kNotReadyRetryAfter = std::chrono::milliseconds(500);
@@ -64,7 +64,7 @@
     : registry_(registry),
       settings_(settings),
       contract_(std::move(contract)),
-      random_(random),
+
       split_(std::move(random)) {}
 
 entry_gateway::~entry_gateway() = default;
@@ -307,25 +307,18 @@
 
 std::vector<network_address> entry_gateway::AddressesFor(
     const address_question& question) const {
-  std::vector<network_address> all;
-  std::vector<network_address> in_zone;
+  std::vector<member> usable;
   for (const member& each : directory_->members()) {
-    if (each.state != member_state::kAlive)
-      continue;
     const bool is_self = each.peer_address == directory_->self().peer_address;
-    if (is_self && !IsReady())
-      continue;
-    all.push_back(each.caller_address);
-    if (each.availability_zone == question.availability_zone)
-      in_zone.push_back(each.caller_address);
+    if (each.state == member_state::kAlive && (!is_self || IsReady()))
+      usable.push_back(each);
   }
-  std::vector<network_address>& chosen =
-      in_zone.size() >= kEnoughInZone ? in_zone : all;
-  while (chosen.size() > kMaxAddresses) {
-    std::swap(chosen[random_() % chosen.size()], chosen.back());
-    chosen.pop_back();
+  std::vector<network_address> addresses;
+  for (const member& each :
+       ChooseForCallers(question.availability_zone, usable, kMaxAddresses)) {
+    addresses.push_back(each.caller_address);
   }
-  return chosen;
+  return addresses;
 }
 
 http_response entry_gateway::AnswerLookup(const http_request& request) const {
--- a/modules/entry_gateway/entry_gateway.h
+++ b/modules/entry_gateway/entry_gateway.h
@@ -84,7 +84,6 @@
   service_registry& registry_;
   const entry_settings settings_;
   const caller_contract contract_;
-  random_source random_;
   event_loop* loop_ = nullptr;
   state_board* board_ = nullptr;
   state_feed* feed_ = nullptr;
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -96,10 +96,31 @@
   return peer == directory_->self().peer_address;
 }
 
-network_address slot_link::OwnerOf(const std::string& service_name) const {
+service_shard slot_link::ChooseShard(const std::string& service_name) {
+  const std::vector<std::string>& ids = endpoints_->IdsOf(service_name);
+  service_shard shard{service_name, 0, ShardCount(ids.size())};
+  if (shard.count > 1) {
+    // Going round the endpoints gives each shard its part.
+    shard.index = ShardOf(ids[next_number_ % ids.size()], shard.count);
+  }
+  return shard;
+}
+
+std::vector<endpoint_entry> slot_link::EndpointsOf(
+    const service_shard& shard) const {
+  std::vector<endpoint_entry> entries;
+  for (const std::string& id : endpoints_->IdsOf(shard.service)) {
+    const endpoint_entry* entry = endpoints_->Find(id);
+    if (entry != nullptr && ShardOf(id, shard.count) == shard.index)
+      entries.push_back(*entry);
+  }
+  return entries;
+}
+
+network_address slot_link::OwnerOf(const service_shard& shard) const {
   const monotonic_time now = event_loop::Now();
   const std::vector<member> owners = ChooseForDuty(
-      service_name, directory_->members(), 1, [this, now](const member& each) {
+      shard.Name(), directory_->members(), 1, [this, now](const member& each) {
         const auto distrusted = distrusted_until_.find(each.peer_address);
         return distrusted != distrusted_until_.end() &&
                now < distrusted->second;
@@ -108,50 +129,58 @@
                         : owners.front().peer_address;
 }
 
-slot_link::owned_service& slot_link::Own(const std::string& service_name) {
-  owned_service& owned = owned_[service_name];
+slot_link::owned_shard& slot_link::Own(const service_shard& shard) {
+  owned_shard& owned = owned_[shard];
   if (owned.scheduler)
     return owned;
   slot_settings settings;
-  settings.service = service_name;
+  settings.service = shard.Name();
   settings.repeats.ratio = settings_.repeat_ratio;
   settings.repeats.window = settings_.repeat_window;
-  settings.repeats.slack = settings_.repeat_slack * kSlackShare;
+  settings.repeats.slack = settings_.repeat_slack * kSlackShare / shard.count;
   settings.probes_per_second = settings_.probes_per_second * kProbeShare;
-  owned.scheduler = std::make_unique<slot_scheduler>(
-      settings, MakeHooks(service_name), random_);
+  owned.scheduler =
+      std::make_unique<slot_scheduler>(settings, MakeHooks(shard), random_);
   owned.timer = std::make_unique<boost::asio::steady_timer>(loop_->context());
-  owned.scheduler->SetEndpoints(endpoints_->OfService(service_name),
-                                event_loop::Now());
-  Log(log_level::kInfo, "service_owned", {{"service", service_name}});
+  owned.scheduler->SetEndpoints(EndpointsOf(shard), event_loop::Now());
+  Log(log_level::kInfo, "shard_owned", {{"shard", shard.Name()}});
   return owned;
 }
 
-slot_hooks slot_link::MakeHooks(const std::string& service_name) {
+slot_hooks slot_link::MakeHooks(const service_shard& shard) {
   slot_hooks hooks;
   const network_address self = directory_->self().peer_address;
-  hooks.grant = [this, self, service_name](const slot_grant& grant) {
+  hooks.grant = [this, self, shard](const slot_grant& grant) {
     Log(log_level::kInfo, "slot_granted",
-        {{"request", std::to_string(grant.request.number)},
+        {{"request", grant.caller_id},
          {"holder", grant.request.entry_vm},
-         {"service", service_name},
+         {"shard", shard.Name()},
          {"endpoint", grant.endpoint.id},
          {"hedge", grant.is_hedge ? "true" : "false"}});
     if (grant.request.entry_vm == self.ToString()) {
       // Hooks must not call back before the scheduler returns.
-      boost::asio::post(loop_->context(), [this, grant] { OnGrant(grant); });
+      boost::asio::post(loop_->context(), [this, shard, self, grant] {
+        OnGrant(shard, self, grant);
+      });
       return;
     }
     slot_message message;
     message.type = slot_message_type::kGrant;
-    message.service = service_name;
+    message.shard = shard;
     message.request.key = grant.request;
     message.attempt = grant.attempt;
     message.endpoint_id = grant.endpoint.id;
     message.is_hedge = grant.is_hedge;
     Send(*network_address::Parse(grant.request.entry_vm), message);
   };
-  hooks.reject = [this, self, service_name](const slot_rejection& rejection) {
+  hooks.reject = [this, self, shard](const slot_rejection& rejection) {
+    Log(log_level::kInfo, "slot_refused",
+        {{"request", rejection.caller_id},
+         {"holder", rejection.request.entry_vm},
+         {"shard", shard.Name()},
+         {"reason", ToString(rejection.reason)},
+         {"retry_after_ms",
+          std::to_string(ToMilliseconds(rejection.retry_after))}});
     if (rejection.request.entry_vm == self.ToString()) {
       boost::asio::post(loop_->context(),
                         [this, rejection] { OnReject(rejection); });
@@ -159,24 +188,24 @@
     }
     slot_message message;
     message.type = slot_message_type::kReject;
-    message.service = service_name;
+    message.shard = shard;
     message.request.key = rejection.request;
     message.reason = rejection.reason;
     message.retry_after = rejection.retry_after;
     Send(*network_address::Parse(rejection.request.entry_vm), message);
   };
-  hooks.probe = [this, service_name](const endpoint_entry& endpoint) {
-    StartProbe(service_name, endpoint);
+  hooks.probe = [this, shard](const endpoint_entry& endpoint) {
+    StartProbe(shard, endpoint);
   };
   return hooks;
 }
 
-void slot_link::StartProbe(const std::string& service_name,
+void slot_link::StartProbe(const service_shard& shard,
                            const endpoint_entry& endpoint) {
   std::string path = "/";
   const std::shared_ptr<const route_table> routes = board_->routes();
   if (routes) {
-    const auto profile = routes->state().services.find(service_name);
+    const auto profile = routes->state().services.find(shard.service);
     if (profile != routes->state().services.end())
       path = profile->second.status_check_path;
   }
@@ -187,27 +216,27 @@
                     " HTTP/1.1\r\nHost: " + endpoint.address.ToString() +
                     "\r\n\r\n";
   exchange.deadline = event_loop::Now() + kProbeTimeout;
-  link_->Begin(std::move(exchange), [this, service_name, id = endpoint.id](
+  link_->Begin(std::move(exchange), [this, shard, id = endpoint.id](
                                         const endpoint_result& result) {
-    const auto owned = owned_.find(service_name);
+    const auto owned = owned_.find(shard);
     if (is_stopped_ || owned == owned_.end())
       return;
     owned->second.scheduler->ReportProbe(id, result.load, event_loop::Now());
-    Reschedule(service_name);
+    Reschedule(shard);
   });
 }
 
 void slot_link::RefreshEndpoints(const std::string& service_name) {
-  const auto owned = owned_.find(service_name);
-  if (owned == owned_.end())
-    return;
-  owned->second.scheduler->SetEndpoints(endpoints_->OfService(service_name),
-                                        event_loop::Now());
-  Reschedule(service_name);
+  for (auto& [shard, owned] : owned_) {
+    if (shard.service != service_name)
+      continue;
+    owned.scheduler->SetEndpoints(EndpointsOf(shard), event_loop::Now());
+    Reschedule(shard);
+  }
 }
 
-void slot_link::Reschedule(const std::string& service_name) {
-  owned_service& owned = owned_.at(service_name);
+void slot_link::Reschedule(const service_shard& shard) {
+  owned_shard& owned = owned_.at(shard);
   const std::optional<monotonic_time> due = owned.scheduler->NextDeadline();
   if (!due) {
     owned.timer->cancel();
@@ -219,27 +248,28 @@
   owned.timer_due = due;
   owned.timer->expires_at(*due);
   owned.timer->async_wait(
-      [this, service_name](const boost::system::error_code& error) {
+      [this, shard](const boost::system::error_code& error) {
         if (error || is_stopped_)
           return;
-        owned_service& woken = owned_.at(service_name);
+        owned_shard& woken = owned_.at(shard);
         woken.timer_due.reset();
         woken.scheduler->Advance(event_loop::Now());
-        Reschedule(service_name);
+        Reschedule(shard);
       });
 }
 
 std::uint64_t slot_link::Acquire(const std::string& service_name,
                                  slot_request request,
                                  slot_client_hooks hooks) {
+  const service_shard shard = ChooseShard(service_name);
   const std::uint64_t number = next_number_++;
   request.key.entry_vm = directory_->self().peer_address.ToString();
   request.key.number = number;
   held_request& held = held_[number];
-  held.service = service_name;
+  held.shard = shard;
   held.request = std::move(request);
   held.hooks = std::move(hooks);
-  held.owner = OwnerOf(service_name);
+  held.owner = OwnerOf(shard);
   Submit(held);
   return number;
 }
@@ -249,15 +279,15 @@
   held.ask_again_at = now + kAnswerWait;
   if (IsSelf(held.owner)) {
     held.is_confirmed = true;
-    owned_service& owned = Own(held.service);
+    owned_shard& owned = Own(held.shard);
     owned.scheduler->Submit(held.request, now);
-    Reschedule(held.service);
+    Reschedule(held.shard);
     return;
   }
   ++held.unanswered;
   slot_message message;
   message.type = slot_message_type::kSubmit;
-  message.service = held.service;
+  message.shard = held.shard;
   message.request = held.request;
   Send(held.owner, message);
 }
@@ -272,17 +302,17 @@
   held_request& held = found->second;
   held.attempts.erase(attempt);
   if (IsSelf(held.owner)) {
-    const auto owned = owned_.find(held.service);
+    const auto owned = owned_.find(held.shard);
     if (owned == owned_.end())
       return;
     owned->second.scheduler->Report(held.request.key, attempt, outcome, load,
                                     event_loop::Now());
-    Reschedule(held.service);
+    Reschedule(held.shard);
     return;
   }
   slot_message message;
   message.type = slot_message_type::kReport;
-  message.service = held.service;
+  message.shard = held.shard;
   message.request.key = held.request.key;
   message.attempt = attempt;
   message.outcome = outcome;
@@ -298,26 +328,28 @@
   const held_request held = std::move(found->second);
   held_.erase(found);
   if (IsSelf(held.owner)) {
-    const auto owned = owned_.find(held.service);
+    const auto owned = owned_.find(held.shard);
     if (owned == owned_.end())
       return;
     owned->second.scheduler->Cancel(held.request.key, event_loop::Now());
-    Reschedule(held.service);
+    Reschedule(held.shard);
     return;
   }
   if (held.is_rejected)
     return;
   slot_message message;
   message.type = slot_message_type::kCancel;
-  message.service = held.service;
+  message.shard = held.shard;
   message.request.key = held.request.key;
   Send(held.owner, message);
 }
 
-void slot_link::OnGrant(const slot_grant& grant) {
+void slot_link::OnGrant(const service_shard& shard,
+                        const network_address& owner,
+                        const slot_grant& grant) {
   const auto found = held_.find(grant.request.number);
-  if (found == held_.end())
-    return;
+  if (found == held_.end() || found->second.owner != owner)
+    return RefuseGrant(shard, owner, grant.request);
   held_request& held = found->second;
   if (held.attempts.count(grant.attempt) > 0)
     return;
@@ -327,6 +359,25 @@
   hooks.granted(grant);
 }
 
+void slot_link::RefuseGrant(const service_shard& shard,
+                            const network_address& owner,
+                            const request_key& key) {
+  ++stale_grants_;
+  Log(log_level::kInfo, "grant_refused",
+      {{"number", std::to_string(key.number)},
+       {"shard", shard.Name()},
+       {"owner", owner.ToString()},
+       {"reason", "not_held_there"}});
+  slot_message cancel;
+  cancel.type = slot_message_type::kCancel;
+  cancel.shard = shard;
+  cancel.request.key = key;
+  if (IsSelf(owner))
+    OnOwnerMessage(cancel);
+  else
+    Send(owner, cancel);
+}
+
 void slot_link::OnReject(const slot_rejection& rejection) {
   const auto found = held_.find(rejection.request.number);
   if (found == held_.end() || found->second.is_rejected)
@@ -348,25 +399,25 @@
 void slot_link::Reassign() {
   if (is_stopped_)
     return;
-  std::map<std::string, network_address> owners;
+  std::map<service_shard, network_address> owners;
   for (auto& [number, held] : held_) {
     if (held.is_rejected)
       continue;
-    const auto known = owners.find(held.service);
+    const auto known = owners.find(held.shard);
     const network_address owner =
         known != owners.end()
             ? known->second
-            : owners.emplace(held.service, OwnerOf(held.service)).first->second;
+            : owners.emplace(held.shard, OwnerOf(held.shard)).first->second;
     if (owner == held.owner)
       continue;
     Log(log_level::kInfo, "owner_changed",
         {{"request", held.request.caller_id},
-         {"service", held.service},
+         {"shard", held.shard.Name()},
          {"from", held.owner.ToString()},
          {"to", owner.ToString()}});
     slot_message cancel;
     cancel.type = slot_message_type::kCancel;
-    cancel.service = held.service;
+    cancel.shard = held.shard;
     cancel.request.key = held.request.key;
     if (IsSelf(held.owner)) {
       OnOwnerMessage(cancel);
@@ -379,7 +430,7 @@
     for (const auto& [attempt, endpoint_id] : held.attempts) {
       slot_message adopt;
       adopt.type = slot_message_type::kAdopt;
-      adopt.service = held.service;
+      adopt.shard = held.shard;
       adopt.request = held.request;
       adopt.attempt = attempt;
       adopt.endpoint_id = endpoint_id;
@@ -445,7 +496,7 @@
           const std::optional<slot_message> message = DecodeSlotMessage(
               std::string_view(datagram_.data(), size), event_loop::Now());
           if (message) {
-            OnMessage(*message);
+            OnMessage(*message, sender_.address().to_string());
           } else {
             ++datagrams_refused_;
             Log(log_level::kWarning, "datagram_refused",
@@ -456,7 +507,8 @@
       });
 }
 
-void slot_link::OnMessage(const slot_message& message) {
+void slot_link::OnMessage(const slot_message& message,
+                          const std::string& sender_host) {
   switch (message.type) {
     case slot_message_type::kSubmit:
     case slot_message_type::kAdopt:
@@ -467,7 +519,7 @@
     case slot_message_type::kQueued:
     case slot_message_type::kGrant:
     case slot_message_type::kReject:
-      OnHolderMessage(message);
+      OnHolderMessage(message, sender_host);
       return;
   }
 }
@@ -475,7 +527,7 @@
 void slot_link::OnOwnerMessage(const slot_message& message) {
   const monotonic_time now = event_loop::Now();
   const request_key& key = message.request.key;
-  slot_scheduler& scheduler = *Own(message.service).scheduler;
+  slot_scheduler& scheduler = *Own(message.shard).scheduler;
   if (message.type == slot_message_type::kAdopt) {
     scheduler.Adopt(message.request, message.attempt, message.endpoint_id, now);
   } else if (message.type == slot_message_type::kReport) {
@@ -485,7 +537,7 @@
   } else if (scheduler.IsKnown(key)) {
     // An answer was lost.
     for (const slot_grant& grant : scheduler.GrantsOf(key))
-      MakeHooks(message.service).grant(grant);
+      MakeHooks(message.shard).grant(grant);
   } else {
     scheduler.Submit(message.request, now);
   }
@@ -493,27 +545,37 @@
       scheduler.GrantsOf(key).empty()) {
     slot_message queued;
     queued.type = slot_message_type::kQueued;
-    queued.service = message.service;
+    queued.shard = message.shard;
     queued.request.key = key;
     const tl::expected<network_address, address_error_code> holder =
         network_address::Parse(key.entry_vm);
     if (holder)
       Send(*holder, queued);
   }
-  Reschedule(message.service);
+  Reschedule(message.shard);
 }
 
-void slot_link::OnHolderMessage(const slot_message& message) {
+void slot_link::OnHolderMessage(const slot_message& message,
+                                const std::string& sender_host) {
   const auto found = held_.find(message.request.key.number);
-  const bool is_ours =
-      found != held_.end() && message.request.key == found->second.request.key;
-  if (!is_ours)
+  const bool is_ours = found != held_.end() &&
+                       message.request.key == found->second.request.key &&
+                       message.shard == found->second.shard &&
+                       sender_host == found->second.owner.host;
+  if (!is_ours) {
+    // An owner that was passed over meanwhile must not add an attempt that the
+    // current one does not count, and must get its slot back.
+    if (message.type == slot_message_type::kGrant)
+      RefuseGrant(message.shard, {sender_host, settings_.slot_listen.port},
+                  message.request.key);
     return;
+  }
   held_request& held = found->second;
   held.unanswered = 0;
   held.ask_again_at = event_loop::Now() + kPollInterval;
   if (message.type == slot_message_type::kReject) {
-    OnReject({message.request.key, message.reason, message.retry_after});
+    OnReject({message.request.key, held.request.caller_id, message.reason,
+              message.retry_after});
     return;
   }
   if (message.type != slot_message_type::kGrant)
@@ -528,12 +590,14 @@
            attempt_outcome::kMisdirected, std::nullopt);
     return;
   }
-  OnGrant({message.request.key, message.attempt, *endpoint, message.is_hedge});
+  OnGrant(message.shard, held.owner,
+          {message.request.key, held.request.caller_id, message.attempt,
+           *endpoint, message.is_hedge});
 }
 
 slot_counters slot_link::owned_counters() const {
   slot_counters sum;
-  for (const auto& [service_name, owned] : owned_) {
+  for (const auto& [shard, owned] : owned_) {
     const slot_counters& each = owned.scheduler->counters();
     sum.requests += each.requests;
     sum.grants += each.grants;
@@ -546,14 +610,15 @@
 }
 
 nlohmann::json slot_link::DumpState() const {
-  nlohmann::json services = nlohmann::json::object();
+  nlohmann::json shards = nlohmann::json::object();
   const monotonic_time now = event_loop::Now();
-  for (const auto& [service_name, owned] : owned_)
-    services[service_name] = owned.scheduler->DumpState(now);
+  for (const auto& [shard, owned] : owned_)
+    shards[shard.Name()] = owned.scheduler->DumpState(now);
   return {{"held_requests", held_.size()},
           {"owner_failures", owner_failures_},
+          {"stale_grants", stale_grants_},
           {"datagrams_refused", datagrams_refused_},
-          {"owned", services}};
+          {"owned", shards}};
 }
 
 }  // namespace papayakeel
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -1,8 +1,8 @@
 // Slots of endpoints for the requests that this entry VM holds, from the owner
-// of each service, and the schedulers of the services that it owns itself.
+// of each shard of a service, and the schedulers of the shards that it owns.
 //
-// The owner of a service is the first live entry VM by rendezvous hashing.
-// Views may differ for a while; two owners then fill the same slots, which the
+// The owner of a shard is the first live entry VM by rendezvous hashing. Views
+// may differ for a while; two owners then fill the same slots, which the
 // endpoints' own reports show to both. An owner that does not answer within a
 // few round trips is passed over, and what it had granted is told to the next.
 #ifndef MODULES_SLOT_LINK_SLOT_LINK_H_
@@ -71,7 +71,7 @@
 
  private:
   struct held_request {
-    std::string service;
+    service_shard shard;
     slot_request request;
     slot_client_hooks hooks;
     network_address owner;                          // Peer address.
@@ -81,23 +81,31 @@
     int unanswered = 0;  // Messages to the owner in a row.
     monotonic_time ask_again_at;
   };
-  struct owned_service {
+  struct owned_shard {
     std::unique_ptr<slot_scheduler> scheduler;
     std::unique_ptr<boost::asio::steady_timer> timer;
     std::optional<monotonic_time> timer_due;
   };
 
-  network_address OwnerOf(const std::string& service_name) const;
-  owned_service& Own(const std::string& service_name);
-  slot_hooks MakeHooks(const std::string& service_name);
-  void Reschedule(const std::string& service_name);
+  // The shard for the next request of this VM, in proportion to endpoints.
+  service_shard ChooseShard(const std::string& service_name);
+  network_address OwnerOf(const service_shard& shard) const;
+  owned_shard& Own(const service_shard& shard);
+  std::vector<endpoint_entry> EndpointsOf(const service_shard& shard) const;
+  slot_hooks MakeHooks(const service_shard& shard);
+  void Reschedule(const service_shard& shard);
   void RefreshEndpoints(const std::string& service_name);
-  void StartProbe(const std::string& service_name,
-                  const endpoint_entry& endpoint);
+  void StartProbe(const service_shard& shard, const endpoint_entry& endpoint);
 
   void Submit(held_request& held);
   void Reassign();
-  void OnGrant(const slot_grant& grant);
+  void OnGrant(const service_shard& shard,
+               const network_address& owner,
+               const slot_grant& grant);
+  // Gives back a slot that the request does not need from this owner.
+  void RefuseGrant(const service_shard& shard,
+                   const network_address& owner,
+                   const request_key& key);
   void OnReject(const slot_rejection& rejection);
   void Distrust(const network_address& owner);
   void RunTimer();
@@ -106,9 +114,11 @@
   bool IsSelf(const network_address& peer) const;
   void Send(const network_address& peer, const slot_message& message);
   void Receive();
-  void OnMessage(const slot_message& message);
+  void OnMessage(const slot_message& message, const std::string& sender_host);
+  // A message for the owner that this process is, from a holder.
   void OnOwnerMessage(const slot_message& message);
-  void OnHolderMessage(const slot_message& message);
+  void OnHolderMessage(const slot_message& message,
+                       const std::string& sender_host);
 
   service_registry& registry_;
   const entry_settings settings_;
@@ -122,11 +132,12 @@
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 2048> datagram_{};
   std::optional<boost::asio::steady_timer> timer_;
-  std::map<std::string, owned_service> owned_;
+  std::map<service_shard, owned_shard> owned_;
   std::unordered_map<std::uint64_t, held_request> held_;
   std::map<network_address, monotonic_time> distrusted_until_;
   std::uint64_t next_number_;
   std::uint64_t owner_failures_ = 0;
+  std::uint64_t stale_grants_ = 0;
   std::uint64_t datagrams_refused_ = 0;
   bool is_stopped_ = false;
 };
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 // Raised when the layout changes; others are not read.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 constexpr int kLastType = static_cast<int>(slot_message_type::kCancel);
 constexpr int kLastReason = static_cast<int>(slot_refusal::kAttemptsFailed);
 constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kCancelled);
@@ -51,6 +51,15 @@
   request.was_counted = fields.at(11).get<bool>();
 }
 
+service_shard DecodeShard(const json& fields) {
+  service_shard shard{fields.at(0).get<std::string>(),
+                      fields.at(1).get<std::uint32_t>(),
+                      fields.at(2).get<std::uint32_t>()};
+  if (shard.index >= shard.count)
+    throw json::out_of_range::create(401, "shard", nullptr);
+  return shard;
+}
+
 int Bounded(const json& value, int last) {
   const int number = value.get<int>();
   if (number < 0 || number > last)
@@ -62,7 +71,9 @@
 
 std::string EncodeSlotMessage(const slot_message& message, monotonic_time now) {
   json fields =
-      json::array({kFormat, static_cast<int>(message.type), message.service,
+      json::array({kFormat, static_cast<int>(message.type),
+                   json::array({message.shard.service, message.shard.index,
+                                message.shard.count}),
                    message.request.key.entry_vm, message.request.key.number});
   switch (message.type) {
     case slot_message_type::kSubmit:
@@ -108,7 +119,7 @@
     slot_message message;
     message.type =
         static_cast<slot_message_type>(Bounded(fields.at(1), kLastType));
-    message.service = fields.at(2).get<std::string>();
+    message.shard = DecodeShard(fields.at(2));
     message.request.key.entry_vm = fields.at(3).get<std::string>();
     message.request.key.number = fields.at(4).get<std::uint64_t>();
     switch (message.type) {
--- a/modules/slot_link/slot_message.h
+++ b/modules/slot_link/slot_message.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "servers/placement/service_shard.h"
 #include "servers/scheduling/attempt_outcome.h"
 #include "servers/scheduling/slot_hooks.h"
 #include "servers/scheduling/slot_request.h"
@@ -25,7 +26,7 @@
 
 struct slot_message {
   slot_message_type type = slot_message_type::kSubmit;
-  std::string service;
+  service_shard shard;
   slot_request request;       // Submit, adopt; otherwise only its key.
   std::uint64_t attempt = 0;  // Adopt, grant, report.
   std::string endpoint_id;    // Adopt, grant.
--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -1,6 +1,7 @@
 // Listed endpoints and their changes.
 #include "servers/discovery/endpoint_registry.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -10,6 +11,7 @@
   const auto found = entries_.find(entry.id);
   if (found == entries_.end()) {
     entries_.emplace(entry.id, entry);
+    AddToService(entry);
     Notify(entry.service);
     return true;
   }
@@ -23,6 +25,10 @@
       known.started_unix_ms == entry.started_unix_ms &&
       known.service == entry.service && known.address == entry.address &&
       known.slots == entry.slots && known.is_leaving == entry.is_leaving;
+  if (previous_service != entry.service) {
+    RemoveFromService(known);
+    AddToService(entry);
+  }
   known = entry;
   if (is_same)
     return true;
@@ -37,6 +43,7 @@
   if (found == entries_.end())
     return;
   const std::string service_name = found->second.service;
+  RemoveFromService(found->second);
   entries_.erase(found);
   Notify(service_name);
 }
@@ -51,14 +58,24 @@
     Remove(id);
 }
 
-std::vector<endpoint_entry> endpoint_registry::OfService(
+const std::vector<std::string>& endpoint_registry::IdsOf(
     const std::string& service_name) const {
-  std::vector<endpoint_entry> matching;
-  for (const auto& [id, entry] : entries_) {
-    if (entry.service == service_name)
-      matching.push_back(entry);
-  }
-  return matching;
+  static const std::vector<std::string> kNone;
+  const auto found = ids_by_service_.find(service_name);
+  return found == ids_by_service_.end() ? kNone : found->second;
+}
+
+void endpoint_registry::AddToService(const endpoint_entry& entry) {
+  std::vector<std::string>& ids = ids_by_service_[entry.service];
+  ids.insert(std::lower_bound(ids.begin(), ids.end(), entry.id), entry.id);
+}
+
+void endpoint_registry::RemoveFromService(const endpoint_entry& entry) {
+  const auto found = ids_by_service_.find(entry.service);
+  std::vector<std::string>& ids = found->second;
+  ids.erase(std::lower_bound(ids.begin(), ids.end(), entry.id));
+  if (ids.empty())
+    ids_by_service_.erase(found);
 }
 
 std::vector<endpoint_entry> endpoint_registry::All() const {
--- a/servers/discovery/endpoint_registry.h
+++ b/servers/discovery/endpoint_registry.h
@@ -32,8 +32,8 @@
   // Removes every entry whose id is not in `ids`, after a full listing.
   void RetainOnly(const std::set<std::string>& ids);
 
-  // The endpoints of a service, leaving ones included.
-  std::vector<endpoint_entry> OfService(const std::string& service) const;
+  // Ids of the endpoints of a service in order, leaving ones included.
+  const std::vector<std::string>& IdsOf(const std::string& service) const;
   std::vector<endpoint_entry> All() const;
   const endpoint_entry* Find(const std::string& id) const;
   std::size_t size() const { return entries_.size(); }
@@ -43,7 +43,12 @@
  private:
   void Notify(const std::string& service) const;
 
+  void AddToService(const endpoint_entry& entry);
+  void RemoveFromService(const endpoint_entry& entry);
+
   std::map<std::string, endpoint_entry> entries_;
+  // Sorted ids of exactly the entries of each service.
+  std::map<std::string, std::vector<std::string>> ids_by_service_;
   std::vector<listener> listeners_;
 };
 
--- a/servers/scheduling/slot_hooks.h
+++ b/servers/scheduling/slot_hooks.h
@@ -26,6 +26,7 @@
 // Permission to send a request to an endpoint.
 struct slot_grant {
   request_key request;
+  std::string caller_id;  // The caller's id of the request, for logs.
   std::uint64_t attempt = 0;  // Unique within the scheduler.
   endpoint_entry endpoint;
   bool is_hedge = false;
@@ -33,6 +34,7 @@
 
 struct slot_rejection {
   request_key request;
+  std::string caller_id;  // As above.
   slot_refusal reason = slot_refusal::kNoEndpoint;
   time_span retry_after{0};
 };
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -315,8 +315,8 @@
     const auto endpoint = endpoints_.find(running.endpoint_id);
     if (endpoint == endpoints_.end())
       continue;
-    grants.push_back(
-        {key, attempt, endpoint->second.entry(), running.is_hedge});
+    grants.push_back({key, found->second.request.caller_id, attempt,
+                      endpoint->second.entry(), running.is_hedge});
   }
   return grants;
 }
@@ -473,7 +473,8 @@
         now + std::chrono::duration_cast<time_span>(work * kHedgeAfter);
     hedges_due_.insert({record.hedge_at, record.request.key});
   }
-  hooks_.grant({record.request.key, attempt, endpoint.entry(), is_hedge});
+  hooks_.grant({record.request.key, record.request.caller_id, attempt,
+                endpoint.entry(), is_hedge});
 }
 
 void slot_scheduler::ReserveRepeat(request_record& record, monotonic_time now) {
@@ -492,9 +493,10 @@
     return;
   Dequeue(found->second);
   hedges_due_.erase({found->second.hedge_at, key});
+  const std::string caller_id = found->second.request.caller_id;
   requests_.erase(found);
   ++counters_.rejections;
-  hooks_.reject({key, reason, retry_after});
+  hooks_.reject({key, caller_id, reason, retry_after});
 }
 
 void slot_scheduler::Enqueue(request_record& record,
--- a/tests/modules/slot_link/slot_message_test.cc
+++ b/tests/modules/slot_link/slot_message_test.cc
@@ -13,7 +13,7 @@
 slot_message MakeMessage(slot_message_type type) {
   slot_message message;
   message.type = type;
-  message.service = "bokning";
+  message.shard = {"bokning", 1, 2};
   message.request.key = {"10.0.0.1:7000", 77};
   message.request.work_class = "a.example/book/";
   message.request.importance = 2;
@@ -45,6 +45,7 @@
   const slot_message read =
       *DecodeSlotMessage(EncodeSlotMessage(submit, sender), receiver);
   CHECK(read.request.key == submit.request.key);
+  CHECK(read.shard == submit.shard);
   CHECK(read.request.deadline == receiver + milliseconds(1500));
   CHECK(read.request.arrival == receiver - milliseconds(20));
   LONGS_EQUAL(1, read.request.earlier_attempts);
