--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -42,6 +42,13 @@
 // Fleets of this size read the store through a few of their entry VMs.
 constexpr std::size_t kRelayedFleet = 30;
 constexpr std::size_t kReaders = 3;
+// A process that has just started knows few members and would watch the store
+// itself, at the price of a call for each group of changes. It first waits
+// until the members that it knows have not changed for a while.
+constexpr time_span kSettledTime = std::chrono::milliseconds(400);
+constexpr time_span kLongestJoin = std::chrono::seconds(2);
+constexpr time_span kJoinCheck = std::chrono::milliseconds(50);
+
 // A reader that is cut off must notice soon, and so must its followers, since
 // changes are in force everywhere within 2 s.
 constexpr time_span kRelayedWatchWait = std::chrono::milliseconds(600);
@@ -73,6 +80,8 @@
   relay_ = registry_.Find<state_relay>(state_relay::kName);
   timer_.emplace(loop_->context());
   removal_timer_.emplace(loop_->context());
+  started_at_ = event_loop::Now();
+  directory_->Subscribe([this] { members_changed_at_ = event_loop::Now(); });
   List("");
 }
 
@@ -163,7 +172,18 @@
   Watch();
 }
 
+bool state_feed::HasJoined() const {
+  const monotonic_time now = event_loop::Now();
+  const std::size_t known = directory_->members().size();
+  if (known >= kRelayedFleet || now - started_at_ >= kLongestJoin)
+    return true;
+  return known > 1 && now - members_changed_at_ >= kSettledTime;
+}
+
 void state_feed::Watch() {
+  has_joined_ = has_joined_ || HasJoined();
+  if (!has_joined_)
+    return Schedule(kJoinCheck, [this] { Watch(); });
   const bool is_following = ChooseSource() != settings_.store;
   const bool is_quick = is_following || is_reader_;
   time_span wait = must_list_again_ ? kShortWatchWait : kWatchWait;
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -62,6 +62,8 @@
   std::vector<network_address> Relays();
   // Where the next call goes.
   network_address ChooseSource();
+  // Whether the fleet is known well enough to tell who reads the store.
+  bool HasJoined() const;
   bool IsFollowing() const { return source_ != settings_.store; }
   void OnSuccess();
   void OnFailure(std::string_view reason);
@@ -86,6 +88,9 @@
 
   std::uint64_t revision_ = 0;  // Changes up to this one are known.
   bool has_listing_ = false;
+  monotonic_time started_at_;
+  monotonic_time members_changed_at_;
+  bool has_joined_ = false;
   std::optional<std::uint64_t> listing_since_;  // Revision of its first page.
   std::set<std::string> listed_ids_;
   // A watch that was broken off may have missed changes that the store forgot
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -37,9 +37,10 @@
 constexpr double kGoalShare = 0.4;
 
 // Extra cost of an endpoint in another availability zone: the way there and
-// back, and for each kilobyte of body.
-constexpr time_span kZoneCost = std::chrono::milliseconds(3);
-constexpr time_span kZoneCostPerKilobyte = std::chrono::microseconds(300);
+// back, and what both users pay for bytes between zones. An upload of 60 KB
+// there costs them about half of what its answer is worth.
+constexpr time_span kZoneCost = std::chrono::milliseconds(10);
+constexpr time_span kZoneCostPerKilobyte = std::chrono::milliseconds(4);
 
 // One step of importance is worth this much of waiting time.
 constexpr time_span kImportanceStep = std::chrono::milliseconds(60);
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -117,6 +117,54 @@
   CHECK_FALSE(IsList(targets[5]));
 }
 
+// Guards against a large fleet whose processes all watch the store while they
+// start, which costs a call for each change on each of them.
+TEST(state_feed, JoinsTheFleetBeforeItWatchesTheStore) {
+  std::vector<std::string> targets;
+  int relayed = 0;
+  service_registry registry;
+  registry.Register(std::make_unique<event_loop>());
+  boost::asio::io_context& context =
+      registry.Find<event_loop>(event_loop::kName)->context();
+  // The store changes all the time, so that each watch is answered at once.
+  store_stand_in store(context, [&targets](const std::string& target) {
+    targets.push_back(target);
+    const std::string as_of = std::to_string(targets.size());
+    return MakeAnswer((IsList(target) ? "{\"items\":[],\"as_of\":"
+                                      : "{\"events\":[],\"as_of\":") +
+                      as_of + "}");
+  });
+  store_stand_in reader(context, [&relayed](const std::string&) {
+    ++relayed;
+    return MakeAnswer("{\"events\":[],\"as_of\":9}");
+  });
+  entry_settings settings;
+  settings.store = store.address();
+  settings.relay_listen = reader.address();
+  registry.Register(std::make_unique<entry_directory>(member{}));
+  registry.Register(std::make_unique<state_board>());
+  registry.Register(std::make_unique<endpoint_registry>());
+  registry.Register(std::make_unique<state_relay>(
+      registry, settings, platform::MakeStoreContract()));
+  registry.Register(std::make_unique<state_feed>(
+      registry, settings, platform::MakeStoreContract(), [] { return 0; }));
+  registry.StartAll();
+  context.run_for(milliseconds(150));
+  std::vector<member> others;
+  for (int index = 0; index < 40; ++index) {
+    member other;
+    other.peer_address = {"127.0.0.1",
+                          static_cast<std::uint16_t>(7000 + index)};
+    other.capacity = 500;
+    others.push_back(other);
+  }
+  registry.Find<entry_directory>(entry_directory::kName)->SetMembers(others);
+  RunUntil(context, [&relayed] { return relayed > 0; });
+  registry.StopAll();
+  CHECK(relayed > 0);
+  LONGS_EQUAL(1, targets.size());
+}
+
 // Guards against a watch whose time runs out in the moment in which changes
 // answer it: its timer used a watch that was gone, which ended the process.
 TEST(state_feed, RelayAnswersWatchesThatExpireAsChangesCome) {
--- /dev/null
+++ b/tests/platform/process/platform_path_test.cc
@@ -0,0 +1,262 @@
+// The whole path on the users' platform, with real entry VM processes, under
+// failures of processes, the store, endpoints and the reader of logs.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tests/platform/process/platform_stand_in.h"
+#include "tests/process/support/test_client.h"
+#include "tests/process/support/test_fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace papayakeel::platform {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+}  // namespace
+
+TEST_GROUP(platform_path) {
+  platform_stand_in site;
+  std::atomic<int> next_id{0};
+
+  // Starts endpoints and VMs and waits until all VMs name each other.
+  void Start(std::size_t endpoints, std::size_t vms, time_span work) {
+    site.PutState(3, {"/look/"});
+    for (std::size_t index = 0; index < endpoints; ++index)
+      site.AddEndpoint(work);
+    for (std::size_t index = 0; index < vms; ++index)
+      site.AddEntryVm();
+    CHECK(WaitUntil([&] {
+      for (std::size_t index = 0; index < vms; ++index) {
+        if (!site.IsReady(index) || site.AddressesFrom(index).size() != vms)
+          return false;
+      }
+      return true;
+    }));
+  }
+
+  std::optional<http_response> Call(std::size_t vm, http::verb method,
+                                    const std::string& target,
+                                    const std::string& id) {
+    return Send(site.CallersOf(vm), method, target,
+                {{"Host", "a.example"},
+                 {"Papayakeel-Request-Id", id},
+                 {"Papayakeel-Deadline-Ms", "4000"}},
+                method == http::verb::post ? "order" : "");
+  }
+
+  std::string NewId() {
+    return "r" + std::to_string(next_id++);
+  }
+
+  // Looks up `count` times and returns how many were answered whole.
+  int LookTimes(std::size_t vm, int count) {
+    int served = 0;
+    for (int number = 0; number < count; ++number) {
+      const std::string target = "/look/" + std::to_string(number);
+      const std::optional<http_response> answer =
+          Call(vm, http::verb::get, target, NewId());
+      const bool is_served = answer && answer->result() == http::status::ok;
+      if (is_served)
+        STRCMP_EQUAL(("GET " + target + "\n").c_str(), answer->body().c_str());
+      served += is_served ? 1 : 0;
+    }
+    return served;
+  }
+};
+
+// Guards against a path that loses an answer, its proof or its id, or runs a
+// booking twice, on a calm day.
+TEST(platform_path, ServesLookupsAndRunsBookingsOnce) {
+  Start(3, 2, milliseconds(5));
+  LONGS_EQUAL(20, LookTimes(0, 20));
+  for (int number = 0; number < 20; ++number) {
+    const std::string id = NewId();
+    const std::optional<http_response> answer =
+        Call(number % 2, http::verb::post, "/book/x", id);
+    CHECK(answer.has_value());
+    LONGS_EQUAL(200, answer->result_int());
+    STRCMP_EQUAL("POST /book/x\n", answer->body().c_str());
+    STRCMP_EQUAL(id.c_str(),
+                 std::string((*answer)["Papayakeel-Request-Id"]).c_str());
+    CHECK(!(*answer)["Papayakeel-Response-Seal"].empty());
+    LONGS_EQUAL(1, site.RunsOf(id));
+  }
+  LONGS_EQUAL(404, Call(0, http::verb::get, "/none/", NewId())->result_int());
+}
+
+// Guards against a process that answers 404 for routes that it has not read.
+TEST(platform_path, WithoutADesiredStateTheAnswerIsNotRun) {
+  site.AddEndpoint(milliseconds(5));
+  site.AddEntryVm();
+  std::optional<http_response> answer;
+  CHECK(WaitUntil([&] {
+    answer = Call(0, http::verb::get, "/look/1", NewId());
+    return answer.has_value();
+  }));
+  LONGS_EQUAL(503, answer->result_int());
+  CHECK(!(*answer)["Retry-After"].empty());
+  CHECK_FALSE(site.IsReady(0));
+}
+
+// Guards against an owner whose loss stops the others, or makes bookings run
+// twice: any of the three may be the owner.
+TEST(platform_path, LostEntryVmsStopNobodyElse) {
+  Start(4, 3, milliseconds(5));
+  site.entry_vm(0).Kill();
+  std::set<std::string> answered;
+  int served = 0;
+  for (int number = 0; number < 60; ++number) {
+    const std::string id = NewId();
+    const std::optional<http_response> answer =
+        Call(1 + number % 2, http::verb::post, "/book/y", id);
+    served += answer && answer->result() == http::status::ok ? 1 : 0;
+    CHECK(site.RunsOf(id) <= 1);
+  }
+  // Only requests in the first moments may meet the lost owner.
+  CHECK(served >= 55);
+  CHECK(WaitUntil([&] { return site.AddressesFrom(1).size() == 2; }));
+  site.entry_vm(1).Kill();
+  CHECK(WaitUntil([&] { return site.AddressesFrom(2).size() == 1; }));
+  LONGS_EQUAL(20, LookTimes(2, 20));
+}
+
+// Guards against an outage of the store that stops service, and against a
+// process that does not find out that the store is back.
+TEST(platform_path, ServesWhileTheStoreIsAway) {
+  Start(2, 2, milliseconds(5));
+  for (const store_fault fault :
+       {store_fault::kRefuses, store_fault::kSilent}) {
+    site.SetStoreFault(fault);
+    LONGS_EQUAL(20, LookTimes(0, 20));
+    LONGS_EQUAL(20, LookTimes(1, 20));
+    const int version = fault == store_fault::kRefuses ? 10 : 20;
+    const std::string prefix = "/new" + std::to_string(version) + "/";
+    site.PutState(version, {"/look/", prefix});
+    site.SetStoreFault(store_fault::kNone);
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+      CHECK(WaitUntil([&] {
+        return Call(vm, http::verb::get, prefix, NewId())->result() ==
+               http::status::ok;
+      }));
+    }
+  }
+}
+
+// Guards against a desired state that is not in force everywhere within two
+// seconds, and against one that reverts when an older one is read.
+TEST(platform_path, NewestStateIsInForceAndStays) {
+  Start(2, 3, milliseconds(5));
+  site.PutState(8, {"/look/", "/added/"});
+  const monotonic_time written = std::chrono::steady_clock::now();
+  for (std::size_t vm = 0; vm < 3; ++vm) {
+    CHECK(WaitUntil([&] {
+      return Call(vm, http::verb::get, "/added/", NewId())->result() ==
+             http::status::ok;
+    }));
+  }
+  CHECK(std::chrono::steady_clock::now() - written < seconds(2));
+  site.PutState(5, {"/look/"});
+  std::this_thread::sleep_for(milliseconds(1500));
+  for (std::size_t vm = 0; vm < 3; ++vm) {
+    LONGS_EQUAL(200,
+                Call(vm, http::verb::get, "/added/", NewId())->result_int());
+  }
+}
+
+// Guards against new work for an endpoint that leaves, by its report or by the
+// removal of its entry.
+TEST(platform_path, LeavingEndpointsGetNothing) {
+  Start(3, 2, milliseconds(5));
+  site.Register(0, true);
+  site.Remove("servers/i-1");
+  std::this_thread::sleep_for(seconds(2));
+  const int before = site.RunsOn(0) + site.RunsOn(1);
+  LONGS_EQUAL(40, LookTimes(0, 20) + LookTimes(1, 20));
+  LONGS_EQUAL(before, site.RunsOn(0) + site.RunsOn(1));
+}
+
+// Guards against requests that are cut when their entry VM is told to stop.
+TEST(platform_path, StoppingCutsOffNothing) {
+  Start(4, 2, milliseconds(400));
+  std::atomic<int> served{0};
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 6; ++caller) {
+    callers.emplace_back([this, caller, &served] {
+      const std::optional<http_response> answer =
+          Call(0, http::verb::post, "/book/z", "stop" + std::to_string(caller));
+      if (answer && answer->result() == http::status::ok)
+        ++served;
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(150));
+  site.entry_vm(0).Signal(SIGTERM);
+  CHECK(WaitUntil([&] { return !site.IsReady(0); }));
+  for (std::thread& caller : callers)
+    caller.join();
+  LONGS_EQUAL(6, served.load());
+  const std::optional<int> status = site.entry_vm(0).Wait(seconds(8));
+  CHECK(status.has_value());
+  LONGS_EQUAL(0, *status);
+  CHECK(WaitUntil([&] { return site.AddressesFrom(1).size() == 1; }));
+  LONGS_EQUAL(10, LookTimes(1, 10));
+}
+
+// Guards against an entry VM that stops serving after a freeze, and against an
+// owner whose freeze stops the others.
+TEST(platform_path, FrozenEntryVmServesAgain) {
+  Start(3, 2, milliseconds(5));
+  for (std::size_t frozen = 0; frozen < 2; ++frozen) {
+    site.entry_vm(frozen).Signal(SIGSTOP);
+    CHECK(LookTimes(1 - frozen, 30) >= 28);
+    site.entry_vm(frozen).Signal(SIGCONT);
+    CHECK(WaitUntil([&] { return LookTimes(frozen, 1) == 1; }));
+    CHECK(WaitUntil([&] { return site.AddressesFrom(0).size() == 2; }));
+  }
+}
+
+// Guards against a log whose reader has stopped and that blocks the calls: the
+// pipe is full after some hundred lines.
+TEST(platform_path, StoppedLogReaderDoesNotBlockCalls) {
+  site.PutState(3, {"/look/"});
+  site.AddEndpoint(milliseconds(1));
+  site.AddEndpoint(milliseconds(1));
+  std::string pattern = "/tmp/papayakeel-log-XXXXXX";
+  const std::string pipe = std::string(mkdtemp(pattern.data())) + "/log";
+  LONGS_EQUAL(0, mkfifo(pipe.c_str(), 0600));
+  // Open for both, so that the daemon can open it and nothing is ever read.
+  const int unread = open(pipe.c_str(), O_RDWR | O_CLOEXEC);
+  site.AddEntryVm(pipe);
+  CHECK(WaitUntil([&] { return site.IsReady(0); }));
+  LONGS_EQUAL(600, LookTimes(0, 600));
+  close(unread);
+}
+
+// Guards against requests that cannot be followed in the logs: each decision
+// bears the caller's id, also at the owner.
+TEST(platform_path, LogsTellTheStoryOfARequest) {
+  Start(2, 2, milliseconds(5));
+  Call(0, http::verb::get, "/look/story", "story-1");
+  std::string logs;
+  CHECK(WaitUntil([&] {
+    logs = site.LogOf(0) + site.LogOf(1);
+    return logs.find("event=request_ended request=story-1") !=
+           std::string::npos;
+  }));
+  CHECK(logs.find("event=slot_granted request=story-1") != std::string::npos);
+  CHECK(logs.find("event=attempt_started request=story-1") !=
+        std::string::npos);
+}
+
+}  // namespace papayakeel::platform
--- /dev/null
+++ b/tests/platform/process/platform_stand_in.cc
@@ -0,0 +1,376 @@
+// Store, endpoints and entry VMs of the stand-in.
+#include "tests/platform/process/platform_stand_in.h"
+
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <future>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+
+#include "tests/process/support/test_client.h"
+
+namespace papayakeel::platform {
+
+namespace {
+
+using nlohmann::json;
+namespace base64 = boost::beast::detail::base64;
+
+// Ports are the same on all VMs, as on the platform; addresses differ.
+constexpr int kCallerPort = 18381;
+constexpr int kReadinessPort = 18388;
+constexpr int kControlPort = 18382;
+constexpr int kDirectoryPort = 18383;
+constexpr int kFirstFreePort = 18400;
+
+constexpr unsigned kHttp11 = 11;
+constexpr char kService[] = "booking";
+
+std::string Encode(const std::string& bytes) {
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+// The value of a number in the query, or 0.
+std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
+  const std::size_t found = target.find(name + "=");
+  return found == std::string::npos
+             ? 0
+             : std::strtoull(target.c_str() + found + name.size() + 1, nullptr,
+                             10);
+}
+
+http_response MakeAnswer(http::status status, const std::string& body) {
+  http_response response(status, kHttp11);
+  response.body() = body;
+  response.prepare_payload();
+  return response;
+}
+
+json MakeRoute(const std::string& name,
+               const std::string& prefix,
+               const std::string& kind) {
+  return {
+      {"name", name},
+      {"route_kind", kind},
+      {"target_latency", "500ms"},
+      {"priority", 1},
+      {"match", {{"prefix", prefix}}},
+      {"action",
+       {{"service", kService}, {"timeout", "4000ms"}, {"max_attempts", 3}}}};
+}
+
+}  // namespace
+
+platform_stand_in::platform_stand_in()
+    : host_prefix_("127." + std::to_string(20 + getpid() % 200) + "." +
+                   std::to_string(1 + getpid() / 200 % 250) + "."),
+      work_guard_(context_.get_executor()) {
+  std::string pattern = "/tmp/papayakeel-platform-XXXXXX";
+  directory_ = mkdtemp(pattern.data());
+  thread_ = std::thread([this] { context_.run(); });
+  Run([this] {
+    store_ = Listen(
+        [this](http_exchange exchange) { HandleStore(std::move(exchange)); });
+  });
+}
+
+platform_stand_in::~platform_stand_in() {
+  vms_.clear();
+  Run([this] {
+    watches_.clear();
+    silenced_.clear();
+    working_.clear();
+    endpoints_.clear();
+    store_.reset();
+  });
+  work_guard_.reset();
+  context_.stop();
+  thread_.join();
+}
+
+void platform_stand_in::Run(const std::function<void()>& action) const {
+  std::promise<void> done;
+  boost::asio::post(context_, [&action, &done] {
+    action();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::unique_ptr<http_listener> platform_stand_in::Listen(
+    std::function<void(http_exchange)> handle) {
+  http_listener_settings settings;
+  settings.listen = {"127.0.0.1", 0};
+  http_listener_hooks hooks;
+  hooks.check_header = [](const http_request&, const network_address&) {
+    return header_decision{};
+  };
+  hooks.handle = std::move(handle);
+  hooks.make_error = [](http::status status, std::string_view,
+                        const http_request*) {
+    return http_response(status, kHttp11);
+  };
+  std::unique_ptr<http_listener> listener =
+      std::make_unique<http_listener>(context_, settings, std::move(hooks));
+  listener->Start();
+  return listener;
+}
+
+void platform_stand_in::HandleStore(http_exchange exchange) {
+  if (fault_ == store_fault::kSilent) {
+    silenced_.push_back(std::move(exchange));
+    return;
+  }
+  if (fault_ == store_fault::kRefuses) {
+    exchange.respond(MakeAnswer(http::status::service_unavailable, "{}"));
+    return;
+  }
+  const std::string target(ToStringView(exchange.request.target()));
+  if (target.find("kv-range") != std::string::npos) {
+    json items = json::array();
+    for (const auto& [key, item] : items_) {
+      items.push_back({{"key", key},
+                       {"value", Encode(item.value)},
+                       {"revision", item.revision}});
+    }
+    const json body = {
+        {"items", items}, {"has_more", false}, {"as_of", revision_}};
+    exchange.respond(MakeAnswer(http::status::ok, body.dump()));
+    return;
+  }
+  watches_.emplace_back();
+  const std::list<waiting_watch>::iterator watch = std::prev(watches_.end());
+  watch->after = QueryNumber(target, "after");
+  watch->exchange = std::move(exchange);
+  if (watch->after < revision_) {
+    AnswerWatch(*watch);
+    watches_.erase(watch);
+    return;
+  }
+  watch->timer = std::make_unique<boost::asio::steady_timer>(
+      context_, std::chrono::milliseconds(QueryNumber(target, "wait_ms")));
+  watch->timer->async_wait(
+      [this, watch](const boost::system::error_code& error) {
+        if (error)
+          return;
+        AnswerWatch(*watch);
+        watches_.erase(watch);
+      });
+}
+
+json platform_stand_in::EventsAfter(std::uint64_t revision) const {
+  json events = json::array();
+  for (const json& event : events_) {
+    if (event.at("revision").get<std::uint64_t>() > revision)
+      events.push_back(event);
+  }
+  return events;
+}
+
+void platform_stand_in::AnswerWatch(const waiting_watch& watch) {
+  const json body = {{"events", EventsAfter(watch.after)},
+                     {"as_of", revision_}};
+  watch.exchange.respond(MakeAnswer(http::status::ok, body.dump()));
+}
+
+void platform_stand_in::Write(const std::string& key,
+                              const std::string* value) {
+  ++revision_;
+  if (value != nullptr) {
+    items_[key] = {*value, revision_};
+    events_.push_back(
+        {{"key", key}, {"value", Encode(*value)}, {"revision", revision_}});
+  } else {
+    items_.erase(key);
+    events_.push_back(
+        {{"key", key}, {"revision", revision_}, {"removed", true}});
+  }
+  if (fault_ == store_fault::kNone) {
+    for (const waiting_watch& watch : watches_)
+      AnswerWatch(watch);
+    watches_.clear();
+  }
+}
+
+void platform_stand_in::Put(const std::string& key, const std::string& value) {
+  Run([&] { Write(key, &value); });
+}
+
+void platform_stand_in::Remove(const std::string& key) {
+  Run([&] { Write(key, nullptr); });
+}
+
+void platform_stand_in::SetStoreFault(store_fault fault) {
+  Run([&] {
+    fault_ = fault;
+    // Watches that wait end like new calls.
+    std::list<waiting_watch> waiting = std::move(watches_);
+    watches_.clear();
+    for (waiting_watch& watch : waiting)
+      HandleStore(std::move(watch.exchange));
+  });
+}
+
+void platform_stand_in::PutState(int version,
+                                 const std::vector<std::string>& lookups) {
+  json policy = json::array({MakeRoute("book", "/book/", "non_idempotent")});
+  for (const std::string& prefix : lookups)
+    policy.push_back(MakeRoute(prefix, prefix, "idempotent"));
+  const json state = {
+      {"version", version},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", 1 << 20},
+        {"header_timeout", "3000ms"},
+        {"idle_timeout", "15000ms"}}},
+      {"listeners", json::array({{{"host", "a.example"}, {"policy", policy}}})},
+      {"clusters", json::array({{{"name", kService},
+                                 {"health_path", "/health"},
+                                 {"max_conns", 100}}})}};
+  Put("op/config", state.dump());
+}
+
+std::size_t platform_stand_in::AddEndpoint(time_span work) {
+  const std::size_t index = endpoints_.size();
+  Run([&] {
+    endpoints_.push_back(std::make_unique<stand_in_endpoint>());
+    stand_in_endpoint& added = *endpoints_.back();
+    added.id = "i-" + std::to_string(index);
+    added.work = work;
+    added.listener = Listen([this, index](http_exchange exchange) {
+      HandleEndpoint(index, std::move(exchange));
+    });
+  });
+  Register(index, false);
+  return index;
+}
+
+void platform_stand_in::Register(std::size_t endpoint, bool is_leaving) {
+  stand_in_endpoint& known = *endpoints_.at(endpoint);
+  const json entry = {
+      {"address", known.listener->local_address().ToString()},
+      {"born", 1000},
+      {"info",
+       {{"service", kService}, {"version", "v1"}, {"zone", "z"}, {"slots", 2}}},
+      {"status",
+       {{"state", is_leaving ? "draining" : "ready"},
+        {"seq", ++known.registrations},
+        {"warmup_left", "0ms"}}}};
+  Put("servers/" + known.id, entry.dump());
+}
+
+void platform_stand_in::HandleEndpoint(std::size_t index,
+                                       http_exchange exchange) {
+  stand_in_endpoint& endpoint = *endpoints_.at(index);
+  const http_request& request = exchange.request;
+  http_response response = MakeAnswer(
+      http::status::ok, std::string(request.method_string()) + " " +
+                            std::string(ToStringView(request.target())) + "\n");
+  response.set("Papayakeel-Server-Load", "0,0,2,100");
+  response.set("Papayakeel-Instance-Id", endpoint.id);
+  if (request.target() == "/health")
+    return exchange.respond(std::move(response));
+  const std::string expected(request["Papayakeel-Expect-Instance"]);
+  if (!expected.empty() && expected != endpoint.id) {
+    response.result(http::status::misdirected_request);
+    response.set("Papayakeel-Not-Executed", "1");
+    return exchange.respond(std::move(response));
+  }
+  const std::string id(request["Papayakeel-Request-Id"]);
+  ++endpoint.runs;
+  ++runs_[id];
+  response.set("Papayakeel-Request-Id", id);
+  response.set("Papayakeel-Response-Seal", "seal-of-" + endpoint.id);
+  working_.push_back(std::make_unique<boost::asio::steady_timer>(
+      context_,
+      std::chrono::duration_cast<std::chrono::microseconds>(endpoint.work)));
+  working_.back()->async_wait([respond = exchange.respond, response](
+                                  const boost::system::error_code& error) {
+    if (!error)
+      respond(response);
+  });
+}
+
+int platform_stand_in::RunsOf(const std::string& request_id) {
+  int runs = 0;
+  Run([&] { runs = runs_[request_id]; });
+  return runs;
+}
+
+int platform_stand_in::RunsOn(std::size_t endpoint) {
+  int runs = 0;
+  Run([&] { runs = endpoints_.at(endpoint)->runs; });
+  return runs;
+}
+
+std::size_t platform_stand_in::AddEntryVm(const std::string& log_path) {
+  const std::size_t index = vms_.size();
+  stand_in_vm added;
+  added.host = host_prefix_ + std::to_string(index + 1);
+  const std::string name = directory_ + "/vm" + std::to_string(index);
+  added.log_path = log_path.empty() ? name + ".log" : log_path;
+  const auto address = [&added](int port) {
+    return added.host + ":" + std::to_string(port);
+  };
+  std::ofstream settings(name + ".conf");
+  settings << "node=edge-" << index
+           << "\nzone=z\nlisten.front=" << address(kCallerPort)
+           << "\nlisten.readiness=" << address(kReadinessPort)
+           << "\nlisten.control=" << address(kControlPort)
+           << "\nlisten.directory=" << address(kDirectoryPort)
+           << "\nport_range=" << kFirstFreePort << "," << kFirstFreePort + 15
+           << "\nseeds=" << host_prefix_ << "1:" << kControlPort << ","
+           << host_prefix_ << "2:" << kControlPort
+           << "\nlimits.cpu_share=0.2\nlimits.memory_mb=260\n"
+           << "bounds=grace=6s,retry_ratio=0.2,retry_window=10s,"
+           << "retry_slack=58,probes_per_s=60\nplatform.address="
+           << store_->local_address().ToString() << "\n";
+  settings.close();
+  // The shell is replaced by the daemon, so that signals reach it.
+  added.process = std::make_unique<child_process>(
+      std::vector<std::string>{"/bin/sh", "-c",
+                               "PAPAYAKEEL_BOOT=" + name + ".conf exec " +
+                                   std::string(PAPAYAKEEL_BINARY_DIR) +
+                                   "/papayakeeld --platform > " +
+                                   added.log_path},
+      name + ".err");
+  vms_.push_back(std::move(added));
+  return index;
+}
+
+network_address platform_stand_in::CallersOf(std::size_t index) const {
+  return {vms_.at(index).host, kCallerPort};
+}
+
+std::string platform_stand_in::LogOf(std::size_t index) const {
+  std::ifstream file(vms_.at(index).log_path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+bool platform_stand_in::IsReady(std::size_t index) const {
+  const std::optional<http_response> answer =
+      Send({vms_.at(index).host, kReadinessPort}, http::verb::get, "/-/ready",
+           {}, "", std::chrono::seconds(1));
+  return answer && answer->result() == http::status::ok;
+}
+
+std::vector<std::string> platform_stand_in::AddressesFrom(
+    std::size_t index) const {
+  const std::optional<http_response> answer =
+      Send({vms_.at(index).host, kDirectoryPort}, http::verb::get,
+           "/-/resolve?name=a.example&region=r&zone=z", {}, "",
+           std::chrono::seconds(1));
+  if (!answer || answer->result() != http::status::ok)
+    return {};
+  return json::parse(answer->body())
+      .at("addresses")
+      .get<std::vector<std::string>>();
+}
+
+}  // namespace papayakeel::platform
--- /dev/null
+++ b/tests/platform/process/platform_stand_in.h
@@ -0,0 +1,123 @@
+// A stand-in for the users' platform on the loopback: its store, endpoints that
+// register there, and entry VMs as processes of their own. Written from the
+// platform's published protocol.
+#ifndef TESTS_PLATFORM_PROCESS_PLATFORM_STAND_IN_H_
+#define TESTS_PLATFORM_PROCESS_PLATFORM_STAND_IN_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "core/monotonic_time.h"
+#include "core/network_address.h"
+#include "modules/http/http_listener.h"
+#include "tests/process/support/child_process.h"
+
+namespace papayakeel::platform {
+
+// What the store does with calls.
+enum class store_fault {
+  kNone,
+  kRefuses,  // Answers 503.
+  kSilent,   // Never answers.
+};
+
+class platform_stand_in {
+ public:
+  platform_stand_in();
+  ~platform_stand_in();
+  platform_stand_in(const platform_stand_in&) = delete;
+  platform_stand_in& operator=(const platform_stand_in&) = delete;
+
+  // Writes an item to the store, or removes it.
+  void Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  void SetStoreFault(store_fault fault);
+
+  // Puts a desired state in force whose routes each send a prefix of the host
+  // "a.example" to the service "booking": the once-only prefix "/book/" and
+  // the idempotent prefixes `lookups`.
+  void PutState(int version, const std::vector<std::string>& lookups);
+
+  // Starts an endpoint that takes `work` for each request and registers it.
+  std::size_t AddEndpoint(time_span work);
+  // Registers it anew, as leaving or not.
+  void Register(std::size_t endpoint, bool is_leaving);
+  // How often an endpoint ran the request, or any request.
+  int RunsOf(const std::string& request_id);
+  int RunsOn(std::size_t endpoint);
+
+  // Starts an entry VM at an address of its own. Its log goes to a file, or to
+  // `log_path` when that is given.
+  std::size_t AddEntryVm(const std::string& log_path = "");
+  child_process& entry_vm(std::size_t index) { return *vms_.at(index).process; }
+  network_address CallersOf(std::size_t index) const;
+  std::string LogOf(std::size_t index) const;
+  bool IsReady(std::size_t index) const;
+  // The addresses that this VM names to callers.
+  std::vector<std::string> AddressesFrom(std::size_t index) const;
+
+ private:
+  struct store_item {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+  struct waiting_watch {
+    std::uint64_t after = 0;
+    http_exchange exchange;
+    std::unique_ptr<boost::asio::steady_timer> timer;
+  };
+  struct stand_in_endpoint {
+    std::string id;
+    time_span work{0};
+    int registrations = 0;
+    int runs = 0;
+    std::unique_ptr<http_listener> listener;
+  };
+  struct stand_in_vm {
+    std::string host;
+    std::string log_path;
+    std::unique_ptr<child_process> process;
+  };
+
+  // Runs `action` in the thread of the listeners and waits for its end.
+  void Run(const std::function<void()>& action) const;
+  std::unique_ptr<http_listener> Listen(
+      std::function<void(http_exchange)> handle);
+  void HandleStore(http_exchange exchange);
+  void HandleEndpoint(std::size_t index, http_exchange exchange);
+  void Write(const std::string& key, const std::string* value);
+  void AnswerWatch(const waiting_watch& watch);
+  nlohmann::json EventsAfter(std::uint64_t revision) const;
+
+  std::string directory_;
+  std::string host_prefix_;  // Of the loopback addresses of this test.
+  mutable boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_guard_;
+  store_fault fault_ = store_fault::kNone;
+  std::uint64_t revision_ = 1;
+  std::map<std::string, store_item> items_;
+  std::vector<nlohmann::json> events_;
+  std::list<waiting_watch> watches_;
+  std::vector<http_exchange> silenced_;  // Calls that get no answer.
+  std::unique_ptr<http_listener> store_;
+  std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
+  std::map<std::string, int> runs_;
+  std::vector<std::unique_ptr<boost::asio::steady_timer>> working_;
+  std::vector<stand_in_vm> vms_;
+  std::thread thread_;
+};
+
+}  // namespace papayakeel::platform
+
+#endif  // TESTS_PLATFORM_PROCESS_PLATFORM_STAND_IN_H_
