Notice callers that leave before or while their request waits

Once-only requests whose attempt was rejected went on to further endpoints although their caller had left. Ruled out: a slow path between owner and holder; the grant followed the freed slot at once.

The connection is read until its end; a request whose caller has left gets no further attempt, and one that no byte has been sent of is cancelled.

--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -34,6 +34,7 @@
 
   // Whether another exchange may use the connection.
   bool IsReusable(monotonic_time now);
+  bool has_sent() const { return has_sent_; }
   bool has_carried_exchange() const { return has_carried_exchange_; }
 
  private:
--- a/modules/endpoint_link/endpoint_link.cc
+++ b/modules/endpoint_link/endpoint_link.cc
@@ -112,6 +112,11 @@
   running_.erase(found);
 }
 
+bool endpoint_link::HasSent(exchange_id id) const {
+  const auto found = running_.find(id);
+  return found != running_.end() && found->second->has_sent();
+}
+
 nlohmann::json endpoint_link::DumpState() const {
   std::size_t idle = 0;
   for (const auto& [key, pool] : idle_)
--- a/modules/endpoint_link/endpoint_link.h
+++ b/modules/endpoint_link/endpoint_link.h
@@ -44,6 +44,9 @@
   // Ends an exchange and closes its connection, which tells the endpoint.
   void Cancel(exchange_id id);
 
+  // Whether a part of the request may have reached the endpoint.
+  bool HasSent(exchange_id id) const;
+
   std::uint64_t opened_total() const { return opened_total_; }
   std::uint64_t reused_total() const { return reused_total_; }
   std::size_t running() const { return running_.size(); }
--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -53,7 +53,7 @@
 
 void caller_session::Read() {
   const bool is_full = pending_.size() >= kMaxPipelined;
-  if (host_ == nullptr || is_reading_ || is_closing_ || is_full)
+  if (host_ == nullptr || is_reading_ || is_full)
     return;
   is_reading_ = true;
   socket_.async_read_some(
@@ -71,6 +71,10 @@
     return;
   if (error)
     return OnCallerGone();
+  if (is_closing_) {
+    // Only read to learn when the caller leaves.
+    return Read();
+  }
   buffer_.commit(size);
   Parse();
   ArmTimer();
@@ -334,21 +338,7 @@
         if (!error)
           self->OnCallerGone();
       });
-  if (is_reading_)
-    return;
-  is_reading_ = true;
-  buffer_.clear();
-  socket_.async_read_some(
-      buffer_.prepare(kReadSize),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t) {
-        self->is_reading_ = false;
-        if (self->host_ == nullptr)
-          return;
-        if (error)
-          return self->OnCallerGone();
-        self->Linger();
-      });
+  Read();
 }
 
 void caller_session::Drain(bool close_idle) {
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -108,7 +108,8 @@
 }
 
 void request_run::OnGranted(const slot_grant& grant) {
-  const bool is_wanted = !is_ended_ && event_loop::Now() < plan_.deadline &&
+  const bool is_wanted = !is_ended_ && !is_caller_gone_ &&
+                         event_loop::Now() < plan_.deadline &&
                          sent_ < plan_.max_attempts &&
                          (MayRepeat() || (!may_have_run_ && attempts_.empty()));
   if (!is_wanted) {
@@ -153,6 +154,9 @@
   }
   may_have_run_ |= !IsCertainlyNotRun(result.outcome);
   services_.slots->Report(number_, attempt, result.outcome, result.load);
+  // Nobody waits for a further attempt.
+  if (is_caller_gone_ && result.outcome != attempt_outcome::kAnswered)
+    return Stop(request_end::kCallerGone, "caller_gone");
   switch (result.outcome) {
     case attempt_outcome::kAnswered:
       return Answer(std::move(result.response), request_end::kAnswered, "");
@@ -211,7 +215,11 @@
   if (is_ended_)
     return;
   // Once-only work that an endpoint may have begun is not broken off.
-  if (!MayRepeat() && !attempts_.empty())
+  const bool may_be_running =
+      std::any_of(attempts_.begin(), attempts_.end(), [this](const auto& each) {
+        return services_.endpoints->HasSent(each.second);
+      });
+  if (!MayRepeat() && may_be_running)
     return;
   Stop(request_end::kCallerGone, "caller_gone");
 }
--- a/tests/platform/process/platform_path_test.cc
+++ b/tests/platform/process/platform_path_test.cc
@@ -187,6 +187,46 @@
   LONGS_EQUAL(before, site.RunsOn(0) + site.RunsOn(1));
 }
 
+// Guards against once-only requests that are sent to further endpoints after
+// their caller has left: only what an endpoint may have begun goes on.
+TEST(platform_path, NothingIsSentAfterTheCallerHasLeft) {
+  Start(3, 1, milliseconds(400));
+  for (std::size_t endpoint = 0; endpoint < 3; ++endpoint)
+    site.Reject(endpoint);
+  SendRaw(site.CallersOf(0),
+          "POST /book/left HTTP/1.1\r\nHost: a.example\r\n"
+          "Papayakeel-Request-Id: left-1\r\nPapayakeel-Deadline-Ms: 4000\r\n"
+          "Content-Length: 5\r\n\r\norder",
+          milliseconds(150));
+  std::this_thread::sleep_for(milliseconds(1200));
+  LONGS_EQUAL(1, site.ArrivalsOf("left-1"));
+}
+
+// Guards against the departure of a caller that goes unnoticed because its
+// request said that it was the last one: it was sent once a slot was free.
+TEST(platform_path, WaitingRequestOfACallerThatLeftIsNotSent) {
+  Start(1, 1, milliseconds(700));
+  std::vector<std::thread> others;
+  for (int other = 0; other < 2; ++other) {
+    others.emplace_back([this, other] {
+      Call(0, http::verb::post, "/book/", "other" + std::to_string(other));
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  for (const char* const connection : {"close", "keep-alive"}) {
+    SendRaw(site.CallersOf(0),
+            "GET /look/ HTTP/1.1\r\nHost: a.example\r\nConnection: " +
+                std::string(connection) + "\r\nPapayakeel-Request-Id: left-" +
+                connection + "\r\nPapayakeel-Deadline-Ms: 4000\r\n\r\n",
+            milliseconds(100));
+  }
+  for (std::thread& other : others)
+    other.join();
+  std::this_thread::sleep_for(milliseconds(500));
+  LONGS_EQUAL(0, site.ArrivalsOf("left-close"));
+  LONGS_EQUAL(0, site.ArrivalsOf("left-keep-alive"));
+}
+
 // Guards against requests that are cut when their entry VM is told to stop.
 TEST(platform_path, StoppingCutsOffNothing) {
   Start(4, 2, milliseconds(400));
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -283,10 +283,16 @@
     return exchange.respond(std::move(response));
   }
   const std::string id(request["Papayakeel-Request-Id"]);
-  ++endpoint.runs;
-  ++runs_[id];
+  ++arrivals_[id];
   response.set("Papayakeel-Request-Id", id);
-  response.set("Papayakeel-Response-Seal", "seal-of-" + endpoint.id);
+  if (endpoint.is_rejecting) {
+    response.result(http::status::service_unavailable);
+    response.set("Papayakeel-Not-Executed", "1");
+  } else {
+    ++endpoint.runs;
+    ++runs_[id];
+    response.set("Papayakeel-Response-Seal", "seal-of-" + endpoint.id);
+  }
   working_.push_back(std::make_unique<boost::asio::steady_timer>(
       context_,
       std::chrono::duration_cast<std::chrono::microseconds>(endpoint.work)));
@@ -297,6 +303,16 @@
   });
 }
 
+void platform_stand_in::Reject(std::size_t endpoint) {
+  Run([&] { endpoints_.at(endpoint)->is_rejecting = true; });
+}
+
+int platform_stand_in::ArrivalsOf(const std::string& request_id) {
+  int arrivals = 0;
+  Run([&] { arrivals = arrivals_[request_id]; });
+  return arrivals;
+}
+
 int platform_stand_in::RunsOf(const std::string& request_id) {
   int runs = 0;
   Run([&] { runs = runs_[request_id]; });
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -52,6 +52,10 @@
   std::size_t AddEndpoint(time_span work);
   // Registers it anew, as leaving or not.
   void Register(std::size_t endpoint, bool is_leaving);
+  // From now on it answers, after its work time, that it has not run requests.
+  void Reject(std::size_t endpoint);
+  // How often a request reached any endpoint.
+  int ArrivalsOf(const std::string& request_id);
   // How often an endpoint ran the request, or any request.
   int RunsOf(const std::string& request_id);
   int RunsOn(std::size_t endpoint);
@@ -79,6 +83,7 @@
   struct stand_in_endpoint {
     std::string id;
     time_span work{0};
+    bool is_rejecting = false;
     int registrations = 0;
     int runs = 0;
     std::unique_ptr<http_listener> listener;
@@ -112,6 +117,7 @@
   std::vector<http_exchange> silenced_;  // Calls that get no answer.
   std::unique_ptr<http_listener> store_;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
+  std::map<std::string, int> arrivals_;  // By request id.
   std::map<std::string, int> runs_;
   std::vector<std::unique_ptr<boost::asio::steady_timer>> working_;
   std::vector<stand_in_vm> vms_;
