--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -161,10 +161,9 @@
       if (listed_ids_.count(entry.id) == 0)
         unlisted.push_back(entry.id);
     }
-    // Counted together, so that the first of many is not taken for one of few.
     missing_.insert(unlisted.begin(), unlisted.end());
     for (const std::string& id : unlisted)
-      RemoveEndpoint(id);
+      RemoveEndpoint(id, !IsFewMissing(id));
   } else {
     endpoints_->RetainOnly(listed_ids_);
   }
@@ -341,7 +340,7 @@
     return;
   }
   if (!change.endpoint_id.empty())
-    RemoveEndpoint(change.endpoint_id);
+    RemoveEndpoint(change.endpoint_id, event_loop::Now() < lapse_until_);
 }
 
 bool state_feed::IsFewMissing(const std::string& id) const {
@@ -357,9 +356,7 @@
          kFewMissing * static_cast<double>(ids.size());
 }
 
-void state_feed::RemoveEndpoint(const std::string& id) {
-  const monotonic_time now = event_loop::Now();
-  const bool may_return = now < lapse_until_ && !IsFewMissing(id);
+void state_feed::RemoveEndpoint(const std::string& id, bool may_return) {
   Log(log_level::kInfo, "endpoint_removed",
       {{"endpoint", id}, {"outcome", may_return ? "may_return" : "gone"}});
   if (!may_return) {
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -70,7 +70,9 @@
   // Calls `next` after `wait`, unless the service stops first.
   void Schedule(time_span wait, std::function<void()> next);
   void Apply(const store_change& change);
-  void RemoveEndpoint(const std::string& id);
+  // Removes an endpoint now, or when `lapse_until_` has come and it has not
+  // come back.
+  void RemoveEndpoint(const std::string& id, bool may_return);
   // Whether so few endpoints of the service of `id` are missing, itself
   // included, that no outage explains it.
   bool IsFewMissing(const std::string& id) const;
