--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -20,7 +20,8 @@
 run_tests() {
   local program=$1 log arguments=() name summary ran failures
   [ -x "$program" ] || return 0
-  for name in "${known_red[@]}"; do arguments+=(-xst "$name"); done
+  # CppUTest excludes by the name alone; names of listed tests must be unique.
+  for name in "${known_red[@]}"; do arguments+=(-xsn "${name#*.}"); done
   log=$(mktemp)
   echo "== $program"
   local status=0
