Share what the daemons, links and listeners did twice

Found on reading the whole change; behaviour stays as it is. - Both daemons open and log their control listeners through one function, and both forms of settings are read by one ReadFile. - Listeners that take any header and answer errors as plain text need no hooks of their own. - server_connection and endpoint_connection ask one function whether an idle connection can carry a request; a parser that was made twice is made once. - Own answers of the entry gateway and of a request are built in one place. - slot_link passes messages to owners through one function that knows when the owner is this process, and no longer builds all hooks to repeat a grant. - The first gap of catching up and the first estimate of work stand once; a comment whose constant was gone is removed. - The tests of the state feed start their services in one place; their assertions are unchanged.

--- a/drivers/socket_options.cc
+++ b/drivers/socket_options.cc
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <cerrno>
+
 namespace papayakeel {
 
 namespace {
@@ -37,4 +39,10 @@
              sizeof(kKeepAliveProbes));
 }
 
+bool HasNothingToRead(int socket_handle) {
+  char byte = 0;
+  const ssize_t count = recv(socket_handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 }  // namespace papayakeel
--- a/drivers/socket_options.h
+++ b/drivers/socket_options.h
@@ -9,6 +9,10 @@
 // ignored: the options only help.
 void SetLowLatencyOptions(int socket_handle);
 
+// Whether the connection is open and nothing has come in: neither bytes nor
+// its end.
+bool HasNothingToRead(int socket_handle);
+
 }  // namespace papayakeel
 
 #endif  // DRIVERS_SOCKET_OPTIONS_H_
--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -7,6 +7,7 @@
 #include "drivers/event_loop.h"
 #include "drivers/logging.h"
 #include "drivers/random_seed.h"
+#include "main/daemon/control_listeners.h"
 #include "modules/call_router/call_router.h"
 #include "modules/caller_gateway/caller_gateway.h"
 #include "modules/metrics/control_metrics.h"
@@ -64,26 +65,12 @@
 bool daemon::OpenListeners() {
   caller_gateway* gateway =
       registry_.Find<caller_gateway>(caller_gateway::kName);
-  operator_api* operators = registry_.Find<operator_api>(operator_api::kName);
   if (!gateway->Listen()) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.caller_listen.ToString()}});
+    LogListenFailure(settings_.caller_listen);
     return false;
   }
-  if (!operators->Listen()) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.operator_listen.ToString()}});
-    return false;
-  }
-  const tl::expected<void, peer_listen_error> peers =
-      registry_.Find<peer_link>(peer_link::kName)->Listen();
-  if (!peers) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.peer_listen.ToString()},
-         {"reason", ToString(peers.error())}});
-    return false;
-  }
-  return true;
+  return OpenControlListeners(registry_, settings_.operator_listen,
+                              settings_.peer_listen);
 }
 
 readiness daemon::CheckReady() const {
--- a/main/daemon/entry_daemon.cc
+++ b/main/daemon/entry_daemon.cc
@@ -10,6 +10,7 @@
 #include "drivers/event_loop.h"
 #include "drivers/logging.h"
 #include "drivers/random_seed.h"
+#include "main/daemon/control_listeners.h"
 #include "modules/endpoint_link/endpoint_link.h"
 #include "modules/entry_gateway/entry_gateway.h"
 #include "modules/metrics/metrics_service.h"
@@ -116,33 +117,19 @@
   const std::optional<network_address> failed =
       registry_.Find<entry_gateway>(entry_gateway::kName)->Listen();
   if (failed) {
-    Log(log_level::kError, "listen_failed", {{"address", failed->ToString()}});
+    LogListenFailure(*failed);
     return false;
   }
   if (!registry_.Find<slot_link>(slot_link::kName)->Listen()) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.slot_listen.ToString()}});
+    LogListenFailure(settings_.slot_listen);
     return false;
   }
   if (!registry_.Find<state_relay>(state_relay::kName)->Listen()) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.relay_listen.ToString()}});
+    LogListenFailure(settings_.relay_listen);
     return false;
   }
-  if (!registry_.Find<operator_api>(operator_api::kName)->Listen()) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.metrics_listen.ToString()}});
-    return false;
-  }
-  const tl::expected<void, peer_listen_error> peers =
-      registry_.Find<peer_link>(peer_link::kName)->Listen();
-  if (!peers) {
-    Log(log_level::kError, "listen_failed",
-        {{"address", settings_.peer_listen.ToString()},
-         {"reason", ToString(peers.error())}});
-    return false;
-  }
-  return true;
+  return OpenControlListeners(registry_, settings_.metrics_listen,
+                              settings_.peer_listen);
 }
 
 void entry_daemon::LogMembers() {
--- a/main/daemon/main.cc
+++ b/main/daemon/main.cc
@@ -27,16 +27,23 @@
 using papayakeel::settings_error;
 using papayakeel::settings_error_code;
 
+// Returns the file's content, or nothing when it cannot be read.
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file)
+    return std::nullopt;
+  return std::string((std::istreambuf_iterator<char>(file)),
+                     std::istreambuf_iterator<char>());
+}
+
 tl::expected<process_settings, std::vector<settings_error>> LoadSettings(
     const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  const std::optional<std::string> text = ReadFile(path);
+  if (!text) {
     return tl::unexpected(std::vector<settings_error>{
         {settings_error_code::kUnreadable, path, 0, "", "cannot be read"}});
   }
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
-  return papayakeel::ParseSettings(text, path);
+  return papayakeel::ParseSettings(*text, path);
 }
 
 void PrintErrors(const std::vector<settings_error>& errors) {
@@ -47,15 +54,6 @@
   }
 }
 
-// Returns the file's content, or nothing when it cannot be read.
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file)
-    return std::nullopt;
-  return std::string((std::istreambuf_iterator<char>(file)),
-                     std::istreambuf_iterator<char>());
-}
-
 // Reads the platform's settings. Prints the problem on standard error.
 std::optional<papayakeel::entry_settings> LoadPlatformSettings(
     const std::string& path) {
--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -2,8 +2,6 @@
 // and belongs to the request.
 #include "modules/endpoint_link/endpoint_connection.h"
 
-#include <sys/socket.h>
-
 #include <array>
 #include <charconv>
 #include <limits>
@@ -120,18 +118,14 @@
 bool endpoint_connection::IsReusable(monotonic_time now) {
   if (!is_open_ || !is_clean_ || buffer_.size() > 0 || now >= idle_until_)
     return false;
-  char byte = 0;
-  const ssize_t count =
-      recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // Bytes without a request and an end of stream both rule out reuse.
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return HasNothingToRead(stream_.socket().native_handle());
 }
 
 void endpoint_connection::Write() {
   stream_.expires_never();
   has_sent_ = true;
   is_writing_ = true;
-  parser_.emplace();
   const std::array<boost::asio::const_buffer, 2> buffers{
       boost::asio::buffer(exchange_.header),
       exchange_.body ? boost::asio::buffer(*exchange_.body)
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -11,6 +11,7 @@
 #include "drivers/event_loop.h"
 #include "drivers/logging.h"
 #include "modules/entry_gateway/caller_session.h"
+#include "modules/entry_gateway/http_message.h"
 #include "modules/metrics/metric_sink.h"
 #include "modules/metrics/metrics_service.h"
 #include "modules/state_feed/state_feed.h"
@@ -34,7 +35,6 @@
 
 // Addresses in one answer.
 constexpr std::size_t kMaxAddresses = 64;
-// Entry VMs in the caller's availability zone that are enough for it.
 
 // Told to callers while no desired state is known.
 constexpr time_span kNotReadyRetryAfter = std::chrono::milliseconds(500);
@@ -64,7 +64,6 @@
     : registry_(registry),
       settings_(settings),
       contract_(std::move(contract)),
-
       split_(std::move(random)) {}
 
 entry_gateway::~entry_gateway() = default;
@@ -138,18 +137,9 @@
   http_listener_settings listener;
   listener.listen = address;
   http_listener_hooks hooks;
-  hooks.check_header = [](const http_request&, const network_address&) {
-    return header_decision{};
-  };
   hooks.handle = [answer = std::move(answer)](const http_exchange& exchange) {
     exchange.respond(answer(exchange.request));
   };
-  hooks.make_error = [](http::status status, std::string_view reason,
-                        const http_request*) {
-    http_response response(status, 11);
-    response.body() = std::string(reason) + "\n";
-    return response;
-  };
   return std::make_unique<http_listener>(loop_->context(), listener,
                                          std::move(hooks));
 }
@@ -234,16 +224,13 @@
                                   std::optional<time_span> retry_after) {
   const std::string id(
       ToStringView(request.message[contract_.headers.request_id]));
-  http_response response(status, 11);
-  response.set(http::field::content_type, "text/plain");
-  response.set("Proxy-Status", "papayakeel; error=" + std::string(reason));
+  http_response response = MakeOwnAnswer(status, reason);
   if (!id.empty())
     response.set(contract_.headers.request_id, id);
   if (retry_after) {
     response.set(http::field::retry_after,
                  std::to_string(ToMilliseconds(*retry_after) / 1000));
   }
-  response.body() = std::string(reason) + "\n";
   Log(log_level::kInfo, "request_refused",
       {{"request", id},
        {"status", std::to_string(static_cast<unsigned>(status))},
--- a/modules/entry_gateway/http_message.cc
+++ b/modules/entry_gateway/http_message.cc
@@ -19,6 +19,7 @@
     http::field::transfer_encoding,
     http::field::upgrade};
 
+constexpr unsigned kHttp11 = 11;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 
@@ -31,6 +32,14 @@
 
 }  // namespace
 
+http_response MakeOwnAnswer(http::status status, std::string_view reason) {
+  http_response response(status, kHttp11);
+  response.set(http::field::content_type, "text/plain");
+  response.set("Proxy-Status", "papayakeel; error=" + std::string(reason));
+  response.body() = std::string(reason) + "\n";
+  return response;
+}
+
 void RemoveHopByHopHeaders(http::fields& fields) {
   std::vector<std::string> named;
   for (const auto& field : fields) {
--- a/modules/entry_gateway/http_message.h
+++ b/modules/entry_gateway/http_message.h
@@ -1,8 +1,9 @@
-// Serializing of HTTP messages that are passed on.
+// Own answers, and serializing of HTTP messages that are passed on.
 #ifndef MODULES_ENTRY_GATEWAY_HTTP_MESSAGE_H_
 #define MODULES_ENTRY_GATEWAY_HTTP_MESSAGE_H_
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "modules/http/http_types.h"
@@ -14,6 +15,9 @@
   std::string value;
 };
 
+// Returns an answer of this process, not of an endpoint.
+http_response MakeOwnAnswer(http::status status, std::string_view reason);
+
 // Removes the headers that concern one connection only, those that Connection
 // names included.
 void RemoveHopByHopHeaders(http::fields& fields);
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -27,14 +27,6 @@
   return text;
 }
 
-http_response MakeOwnAnswer(http::status status, std::string_view reason) {
-  http_response response(status, 11);
-  response.set(http::field::content_type, "text/plain");
-  response.set("Proxy-Status", "papayakeel; error=" + std::string(reason));
-  response.body() = std::string(reason) + "\n";
-  return response;
-}
-
 }  // namespace
 
 const char* ToString(request_end end) {
--- a/modules/http/http_listener.cc
+++ b/modules/http/http_listener.cc
@@ -10,6 +10,20 @@
 
 namespace papayakeel {
 
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+}  // namespace
+
+http_response MakePlainError(http::status status,
+                             std::string_view reason,
+                             const http_request* /*header*/) {
+  http_response response(status, kHttp11);
+  response.body() = std::string(reason) + "\n";
+  return response;
+}
+
 http_listener::http_listener(boost::asio::io_context& context,
                              http_listener_settings settings,
                              http_listener_hooks hooks)
--- a/modules/http/http_listener.h
+++ b/modules/http/http_listener.h
@@ -57,16 +57,23 @@
   std::function<void(std::function<void()>)> on_disconnect;
 };
 
+// Answers with the reason as plain text.
+http_response MakePlainError(http::status status,
+                             std::string_view reason,
+                             const http_request* header);
+
 struct http_listener_hooks {
   std::function<header_decision(const http_request&, const network_address&)>
-      check_header;
+      check_header = [](const http_request&, const network_address&) {
+        return header_decision();
+      };
   std::function<void(http_exchange)> handle;
   // Builds the answer to a request that cannot be read. `header` is null when
   // not even that could be.
   std::function<http_response(http::status,
                               std::string_view reason,
                               const http_request* header)>
-      make_error;
+      make_error = MakePlainError;
 };
 
 class http_listener {
--- a/modules/server_link/server_connection.cc
+++ b/modules/server_link/server_connection.cc
@@ -2,8 +2,6 @@
 // and belongs to the request.
 #include "modules/server_link/server_connection.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -98,12 +96,9 @@
 bool server_connection::IsReusable() const {
   if (!is_open_ || !is_clean_ || buffer_.size() > 0)
     return false;
-  char byte = 0;
-  const ssize_t count = recv(
-      const_cast<server_connection*>(this)->stream_.socket().native_handle(),
-      &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // Bytes without a request and an end of stream both rule out reuse.
-  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return HasNothingToRead(
+      const_cast<server_connection*>(this)->stream_.socket().native_handle());
 }
 
 void server_connection::Close() {
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -43,6 +43,16 @@
 // An endpoint answers a status check in 2 to 8 ms.
 constexpr time_span kProbeTimeout = std::chrono::milliseconds(80);
 
+slot_message MakeMessage(slot_message_type type,
+                         const service_shard& shard,
+                         const request_key& key) {
+  slot_message message;
+  message.type = type;
+  message.shard = shard;
+  message.request.key = key;
+  return message;
+}
+
 }  // namespace
 
 slot_link::slot_link(service_registry& registry,
@@ -153,50 +163,11 @@
 
 slot_hooks slot_link::MakeHooks(const service_shard& shard) {
   slot_hooks hooks;
-  const network_address self = directory_->self().peer_address;
-  hooks.grant = [this, self, shard](const slot_grant& grant) {
-    Log(log_level::kInfo, "slot_granted",
-        {{"request", grant.caller_id},
-         {"holder", grant.request.entry_vm},
-         {"shard", shard.Name()},
-         {"endpoint", grant.endpoint.id},
-         {"hedge", grant.is_hedge ? "true" : "false"}});
-    if (grant.request.entry_vm == self.ToString()) {
-      // Hooks must not call back before the scheduler returns.
-      boost::asio::post(loop_->context(), [this, shard, self, grant] {
-        OnGrant(shard, self, grant);
-      });
-      return;
-    }
-    slot_message message;
-    message.type = slot_message_type::kGrant;
-    message.shard = shard;
-    message.request.key = grant.request;
-    message.attempt = grant.attempt;
-    message.endpoint_id = grant.endpoint.id;
-    message.is_hedge = grant.is_hedge;
-    Send(*network_address::Parse(grant.request.entry_vm), message);
+  hooks.grant = [this, shard](const slot_grant& grant) {
+    SendGrant(shard, grant);
   };
-  hooks.reject = [this, self, shard](const slot_rejection& rejection) {
-    Log(log_level::kInfo, "slot_refused",
-        {{"request", rejection.caller_id},
-         {"holder", rejection.request.entry_vm},
-         {"shard", shard.Name()},
-         {"reason", ToString(rejection.reason)},
-         {"retry_after_ms",
-          std::to_string(ToMilliseconds(rejection.retry_after))}});
-    if (rejection.request.entry_vm == self.ToString()) {
-      boost::asio::post(loop_->context(),
-                        [this, rejection] { OnReject(rejection); });
-      return;
-    }
-    slot_message message;
-    message.type = slot_message_type::kReject;
-    message.shard = shard;
-    message.request.key = rejection.request;
-    message.reason = rejection.reason;
-    message.retry_after = rejection.retry_after;
-    Send(*network_address::Parse(rejection.request.entry_vm), message);
+  hooks.reject = [this, shard](const slot_rejection& rejection) {
+    SendRejection(shard, rejection);
   };
   hooks.probe = [this, shard](const endpoint_entry& endpoint) {
     StartProbe(shard, endpoint);
@@ -204,6 +175,51 @@
   return hooks;
 }
 
+void slot_link::SendGrant(const service_shard& shard, const slot_grant& grant) {
+  Log(log_level::kInfo, "slot_granted",
+      {{"request", grant.caller_id},
+       {"holder", grant.request.entry_vm},
+       {"shard", shard.Name()},
+       {"endpoint", grant.endpoint.id},
+       {"hedge", grant.is_hedge ? "true" : "false"}});
+  const network_address self = directory_->self().peer_address;
+  if (grant.request.entry_vm == self.ToString()) {
+    // Hooks must not call back before the scheduler returns.
+    boost::asio::post(loop_->context(), [this, shard, self, grant] {
+      OnGrant(shard, self, grant);
+    });
+    return;
+  }
+  slot_message message =
+      MakeMessage(slot_message_type::kGrant, shard, grant.request);
+  message.attempt = grant.attempt;
+  message.endpoint_id = grant.endpoint.id;
+  message.is_hedge = grant.is_hedge;
+  Send(*network_address::Parse(grant.request.entry_vm), message);
+}
+
+void slot_link::SendRejection(const service_shard& shard,
+                              const slot_rejection& rejection) {
+  Log(log_level::kInfo, "slot_refused",
+      {{"request", rejection.caller_id},
+       {"holder", rejection.request.entry_vm},
+       {"shard", shard.Name()},
+       {"reason", ToString(rejection.reason)},
+       {"retry_after_ms",
+        std::to_string(ToMilliseconds(rejection.retry_after))}});
+  if (rejection.request.entry_vm ==
+      directory_->self().peer_address.ToString()) {
+    boost::asio::post(loop_->context(),
+                      [this, rejection] { OnReject(rejection); });
+    return;
+  }
+  slot_message message =
+      MakeMessage(slot_message_type::kReject, shard, rejection.request);
+  message.reason = rejection.reason;
+  message.retry_after = rejection.retry_after;
+  Send(*network_address::Parse(rejection.request.entry_vm), message);
+}
+
 void slot_link::StartProbe(const service_shard& shard,
                            const endpoint_entry& endpoint) {
   std::string path = "/";
@@ -289,9 +305,8 @@
     return;
   }
   ++held.unanswered;
-  slot_message message;
-  message.type = slot_message_type::kSubmit;
-  message.shard = held.shard;
+  slot_message message =
+      MakeMessage(slot_message_type::kSubmit, held.shard, held.request.key);
   message.request = held.request;
   Send(held.owner, message);
 }
@@ -305,24 +320,13 @@
     return;
   held_request& held = found->second;
   held.attempts.erase(attempt);
-  if (IsSelf(held.owner)) {
-    const auto owned = owned_.find(held.shard);
-    if (owned == owned_.end())
-      return;
-    owned->second.scheduler->Report(held.request.key, attempt, outcome, load,
-                                    event_loop::Now());
-    Reschedule(held.shard);
-    return;
-  }
-  slot_message message;
-  message.type = slot_message_type::kReport;
-  message.shard = held.shard;
-  message.request.key = held.request.key;
+  held.ask_again_at = event_loop::Now() + kAnswerWait;
+  slot_message message =
+      MakeMessage(slot_message_type::kReport, held.shard, held.request.key);
   message.attempt = attempt;
   message.outcome = outcome;
   message.load = load;
-  held.ask_again_at = event_loop::Now() + kAnswerWait;
-  Send(held.owner, message);
+  TellOwner(held.owner, message);
 }
 
 void slot_link::End(std::uint64_t number) {
@@ -331,21 +335,10 @@
     return;
   const held_request held = std::move(found->second);
   held_.erase(found);
-  if (IsSelf(held.owner)) {
-    const auto owned = owned_.find(held.shard);
-    if (owned == owned_.end())
-      return;
-    owned->second.scheduler->Cancel(held.request.key, event_loop::Now());
-    Reschedule(held.shard);
+  if (held.is_rejected && !IsSelf(held.owner))
     return;
-  }
-  if (held.is_rejected)
-    return;
-  slot_message message;
-  message.type = slot_message_type::kCancel;
-  message.shard = held.shard;
-  message.request.key = held.request.key;
-  Send(held.owner, message);
+  TellOwner(held.owner, MakeMessage(slot_message_type::kCancel, held.shard,
+                                    held.request.key));
 }
 
 void slot_link::OnGrant(const service_shard& shard,
@@ -372,14 +365,7 @@
        {"shard", shard.Name()},
        {"owner", owner.ToString()},
        {"reason", "not_held_there"}});
-  slot_message cancel;
-  cancel.type = slot_message_type::kCancel;
-  cancel.shard = shard;
-  cancel.request.key = key;
-  if (IsSelf(owner))
-    OnOwnerMessage(cancel);
-  else
-    Send(owner, cancel);
+  TellOwner(owner, MakeMessage(slot_message_type::kCancel, shard, key));
 }
 
 void slot_link::OnReject(const slot_rejection& rejection) {
@@ -419,30 +405,18 @@
          {"shard", held.shard.Name()},
          {"from", held.owner.ToString()},
          {"to", owner.ToString()}});
-    slot_message cancel;
-    cancel.type = slot_message_type::kCancel;
-    cancel.shard = held.shard;
-    cancel.request.key = held.request.key;
-    if (IsSelf(held.owner)) {
-      OnOwnerMessage(cancel);
-    } else {
-      Send(held.owner, cancel);
-    }
+    TellOwner(held.owner, MakeMessage(slot_message_type::kCancel, held.shard,
+                                      held.request.key));
     held.owner = owner;
     held.request.was_counted = true;
     held.unanswered = 0;
     for (const auto& [attempt, endpoint_id] : held.attempts) {
-      slot_message adopt;
-      adopt.type = slot_message_type::kAdopt;
-      adopt.shard = held.shard;
+      slot_message adopt =
+          MakeMessage(slot_message_type::kAdopt, held.shard, held.request.key);
       adopt.request = held.request;
       adopt.attempt = attempt;
       adopt.endpoint_id = endpoint_id;
-      if (IsSelf(owner)) {
-        OnOwnerMessage(adopt);
-      } else {
-        Send(owner, adopt);
-      }
+      TellOwner(owner, adopt);
     }
     if (held.attempts.empty())
       Submit(held);
@@ -509,6 +483,17 @@
     Distrust(*silent);
 }
 
+void slot_link::TellOwner(const network_address& owner,
+                          const slot_message& message) {
+  if (is_stopped_)
+    return;
+  if (IsSelf(owner)) {
+    OnOwnerMessage(message);
+  } else {
+    Send(owner, message);
+  }
+}
+
 void slot_link::Send(const network_address& peer, const slot_message& message) {
   boost::system::error_code error;
   const boost::asio::ip::address host =
@@ -573,16 +558,14 @@
   } else if (scheduler.IsKnown(key)) {
     // An answer was lost.
     for (const slot_grant& grant : scheduler.GrantsOf(key))
-      MakeHooks(message.shard).grant(grant);
+      SendGrant(message.shard, grant);
   } else {
     scheduler.Submit(message.request, now);
   }
   if (message.type == slot_message_type::kSubmit && scheduler.IsKnown(key) &&
       scheduler.GrantsOf(key).empty()) {
-    slot_message queued;
-    queued.type = slot_message_type::kQueued;
-    queued.shard = message.shard;
-    queued.request.key = key;
+    const slot_message queued =
+        MakeMessage(slot_message_type::kQueued, message.shard, key);
     const tl::expected<network_address, address_error_code> holder =
         network_address::Parse(key.entry_vm);
     if (holder)
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -93,6 +93,10 @@
   owned_shard& Own(const service_shard& shard);
   std::vector<endpoint_entry> EndpointsOf(const service_shard& shard) const;
   slot_hooks MakeHooks(const service_shard& shard);
+  // Tell the holder of a request, which may be this process.
+  void SendGrant(const service_shard& shard, const slot_grant& grant);
+  void SendRejection(const service_shard& shard,
+                     const slot_rejection& rejection);
   void Reschedule(const service_shard& shard);
   void RefreshEndpoints(const std::string& service_name);
   void StartProbe(const service_shard& shard, const endpoint_entry& endpoint);
@@ -114,6 +118,8 @@
   void LogShards();
 
   bool IsSelf(const network_address& peer) const;
+  // Passes a message to an owner, which may be this process.
+  void TellOwner(const network_address& owner, const slot_message& message);
   void Send(const network_address& peer, const slot_message& message);
   void Receive();
   void OnMessage(const slot_message& message, const std::string& sender_host);
--- a/modules/state_feed/state_relay.cc
+++ b/modules/state_feed/state_relay.cc
@@ -41,16 +41,7 @@
   http_listener_settings listener;
   listener.listen = settings_.relay_listen;
   http_listener_hooks hooks;
-  hooks.check_header = [](const http_request&, const network_address&) {
-    return header_decision{};
-  };
   hooks.handle = [this](const http_exchange& exchange) { Handle(exchange); };
-  hooks.make_error = [](http::status status, std::string_view reason,
-                        const http_request*) {
-    http_response response(status, kHttp11);
-    response.body() = std::string(reason) + "\n";
-    return response;
-  };
   listener_ = std::make_unique<http_listener>(loop_->context(), listener,
                                               std::move(hooks));
   return listener_->Start().has_value();
--- a/servers/membership/gossip_protocol.cc
+++ b/servers/membership/gossip_protocol.cc
@@ -13,9 +13,6 @@
 constexpr std::size_t kMaxRelays = 64;
 constexpr std::size_t kContestedPerTick = 2;
 constexpr std::size_t kFirstContacts = 3;
-// First time after a table request at which a table that still differs is asked
-// for again; doubles up to the patience.
-constexpr std::chrono::milliseconds kFirstCatchUpGap{800};
 // Stops two members that hold each other dead from exchanging tables as fast
 // as the network allows.
 constexpr std::chrono::milliseconds kTableRequestGap{500};
--- a/servers/membership/gossip_protocol.h
+++ b/servers/membership/gossip_protocol.h
@@ -157,9 +157,10 @@
   monotonic_time next_period_;
   monotonic_time next_contact_;
   std::optional<monotonic_time> last_table_request_;
-  // Time after a table request at which the next one is due while the tables
-  // differ.
-  time_span catch_up_gap_ = std::chrono::milliseconds(800);
+  // First time after a table request at which a table that still differs is
+  // asked for again; doubles up to the patience.
+  static constexpr std::chrono::milliseconds kFirstCatchUpGap{800};
+  time_span catch_up_gap_ = kFirstCatchUpGap;
   monotonic_time last_change_;  // Of the table.
   std::optional<probe> probe_;
   std::list<relay> relays_;  // Bounded; oldest first.
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -112,6 +112,11 @@
   return std::chrono::duration_cast<time_span>(span * factor);
 }
 
+// The time of the work before answers of its class are known.
+time_span FirstEstimate(const slot_request& request) {
+  return Scale(request.goal, kGoalShare);
+}
+
 }  // namespace
 
 slot_scheduler::slot_scheduler(slot_settings settings,
@@ -159,9 +164,7 @@
   request_record& record = entry->second;
   record.request = request;
   record.attempts = request.earlier_attempts;
-  estimates_.try_emplace(
-      request.work_class,
-      std::chrono::duration_cast<time_span>(request.goal * kGoalShare));
+  estimates_.try_emplace(request.work_class, FirstEstimate(request));
   const bool is_repeat = record.attempts > 0;
   if (record.attempts >= request.max_attempts ||
       (is_repeat && !repeats_.CanRepeat(now))) {
@@ -700,7 +703,7 @@
   const auto found = estimates_.find(request.work_class);
   if (found != estimates_.end())
     return found->second.usual();
-  return std::chrono::duration_cast<time_span>(request.goal * kGoalShare);
+  return FirstEstimate(request);
 }
 
 void slot_scheduler::Wake(monotonic_time due) {
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -35,17 +35,10 @@
     http_listener_settings settings;
     settings.listen = {"127.0.0.1", 0};
     http_listener_hooks hooks;
-    hooks.check_header = [](const http_request&, const network_address&) {
-      return header_decision{};
-    };
     hooks.handle = [answer = std::move(answer)](const http_exchange& exchange) {
       exchange.respond(
           answer(std::string(ToStringView(exchange.request.target()))));
     };
-    hooks.make_error = [](http::status status, std::string_view,
-                          const http_request*) {
-      return http_response(status, 11);
-    };
     listener_ = std::make_unique<http_listener>(context, settings, hooks);
     listener_->Start();
   }
@@ -66,6 +59,43 @@
   return !platform::MakeStoreContract().read_question(target)->is_watch;
 }
 
+// The services of an entry VM that read the store.
+class feed_process {
+ public:
+  feed_process() {
+    registry_.Register(std::make_unique<event_loop>());
+    loop_ = registry_.Find<event_loop>(event_loop::kName);
+  }
+
+  boost::asio::io_context& context() { return loop_->context(); }
+
+  void Start(const network_address& store,
+             const network_address& relay = {"127.0.0.1", 0}) {
+    entry_settings settings;
+    settings.store = store;
+    settings.relay_listen = relay;
+    registry_.Register(std::make_unique<entry_directory>(member{}));
+    registry_.Register(std::make_unique<state_board>());
+    registry_.Register(std::make_unique<endpoint_registry>());
+    registry_.Register(std::make_unique<state_relay>(
+        registry_, settings, platform::MakeStoreContract()));
+    registry_.Register(std::make_unique<state_feed>(
+        registry_, settings, platform::MakeStoreContract(), [] { return 0; }));
+    registry_.StartAll();
+  }
+
+  void Stop() { registry_.StopAll(); }
+
+  template <typename service_type>
+  service_type* Find() const {
+    return registry_.Find<service_type>(service_type::kName);
+  }
+
+ private:
+  service_registry registry_;
+  event_loop* loop_ = nullptr;
+};
+
 }  // namespace
 
 TEST_GROUP(state_feed){
@@ -84,10 +114,8 @@
 // VM keeps an outdated state.
 TEST(state_feed, ListsAfterABrokenWatch) {
   std::vector<std::string> targets;
-  service_registry registry;
-  registry.Register(std::make_unique<event_loop>());
-  boost::asio::io_context& context =
-      registry.Find<event_loop>(event_loop::kName)->context();
+  feed_process process;
+  boost::asio::io_context& context = process.context();
   store_stand_in store(context, [&targets](const std::string& target) {
     targets.push_back(target);
     const std::string as_of = std::to_string(targets.size());
@@ -98,19 +126,9 @@
       return http_response(http::status::service_unavailable, 11);
     return MakeAnswer("{\"events\":[],\"as_of\":" + as_of + "}");
   });
-  entry_settings settings;
-  settings.store = store.address();
-  settings.relay_listen = {"127.0.0.1", 0};
-  registry.Register(std::make_unique<entry_directory>(member{}));
-  registry.Register(std::make_unique<state_board>());
-  registry.Register(std::make_unique<endpoint_registry>());
-  registry.Register(std::make_unique<state_relay>(
-      registry, settings, platform::MakeStoreContract()));
-  registry.Register(std::make_unique<state_feed>(
-      registry, settings, platform::MakeStoreContract(), [] { return 0; }));
-  registry.StartAll();
+  process.Start(store.address());
   RunUntil(context, [&targets] { return targets.size() >= 6; });
-  registry.StopAll();
+  process.Stop();
   CHECK(targets.size() >= 6);
   CHECK(IsList(targets[0]));
   CHECK_FALSE(IsList(targets[1]));
@@ -125,10 +143,8 @@
 TEST(state_feed, JoinsTheFleetBeforeItWatchesTheStore) {
   std::vector<std::string> targets;
   int relayed = 0;
-  service_registry registry;
-  registry.Register(std::make_unique<event_loop>());
-  boost::asio::io_context& context =
-      registry.Find<event_loop>(event_loop::kName)->context();
+  feed_process process;
+  boost::asio::io_context& context = process.context();
   // The store changes all the time, so that each watch is answered at once.
   store_stand_in store(context, [&targets](const std::string& target) {
     targets.push_back(target);
@@ -141,17 +157,7 @@
     ++relayed;
     return MakeAnswer("{\"events\":[],\"as_of\":9}");
   });
-  entry_settings settings;
-  settings.store = store.address();
-  settings.relay_listen = reader.address();
-  registry.Register(std::make_unique<entry_directory>(member{}));
-  registry.Register(std::make_unique<state_board>());
-  registry.Register(std::make_unique<endpoint_registry>());
-  registry.Register(std::make_unique<state_relay>(
-      registry, settings, platform::MakeStoreContract()));
-  registry.Register(std::make_unique<state_feed>(
-      registry, settings, platform::MakeStoreContract(), [] { return 0; }));
-  registry.StartAll();
+  process.Start(store.address(), reader.address());
   context.run_for(milliseconds(150));
   std::vector<member> others;
   for (int index = 0; index < 40; ++index) {
@@ -161,9 +167,9 @@
     other.capacity = 500;
     others.push_back(other);
   }
-  registry.Find<entry_directory>(entry_directory::kName)->SetMembers(others);
+  process.Find<entry_directory>()->SetMembers(others);
   RunUntil(context, [&relayed] { return relayed > 0; });
-  registry.StopAll();
+  process.Stop();
   CHECK(relayed > 0);
   LONGS_EQUAL(1, targets.size());
 }
@@ -175,10 +181,8 @@
   for (const int missing : {1, 5}) {
     int listed = kEndpoints;
     bool is_away = false;
-    service_registry registry;
-    registry.Register(std::make_unique<event_loop>());
-    boost::asio::io_context& context =
-        registry.Find<event_loop>(event_loop::kName)->context();
+    feed_process process;
+    boost::asio::io_context& context = process.context();
     store_stand_in store(context, [&](const std::string& target) {
       if (is_away)
         return http_response(http::status::service_unavailable, 11);
@@ -189,20 +193,9 @@
         items += (index > 0 ? "," : "") + platform::MakeEndpointItem(index);
       return MakeAnswer("{\"items\":[" + items + "],\"as_of\":9}");
     });
-    entry_settings settings;
-    settings.store = store.address();
-    settings.relay_listen = {"127.0.0.1", 0};
-    registry.Register(std::make_unique<entry_directory>(member{}));
-    registry.Register(std::make_unique<state_board>());
-    registry.Register(std::make_unique<endpoint_registry>());
-    registry.Register(std::make_unique<state_relay>(
-        registry, settings, platform::MakeStoreContract()));
-    registry.Register(std::make_unique<state_feed>(
-        registry, settings, platform::MakeStoreContract(), [] { return 0; }));
-    registry.StartAll();
-    const endpoint_registry* endpoints =
-        registry.Find<endpoint_registry>(endpoint_registry::kName);
-    const state_feed* feed = registry.Find<state_feed>(state_feed::kName);
+    process.Start(store.address());
+    const endpoint_registry* endpoints = process.Find<endpoint_registry>();
+    const state_feed* feed = process.Find<state_feed>();
     RunUntil(context, [&] { return endpoints->size() == kEndpoints; });
     is_away = true;
     listed = kEndpoints - missing;
@@ -219,7 +212,7 @@
     });
     LONGS_EQUAL(listed, endpoints->size());
     CHECK(failures > 0);
-    registry.StopAll();
+    process.Stop();
   }
 }
 
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -108,14 +108,7 @@
   http_listener_settings settings;
   settings.listen = {"127.0.0.1", 0};
   http_listener_hooks hooks;
-  hooks.check_header = [](const http_request&, const network_address&) {
-    return header_decision{};
-  };
   hooks.handle = std::move(handle);
-  hooks.make_error = [](http::status status, std::string_view,
-                        const http_request*) {
-    return http_response(status, kHttp11);
-  };
   std::unique_ptr<http_listener> listener =
       std::make_unique<http_listener>(context_, settings, std::move(hooks));
   listener->Start();
