Refuse slot messages whose holder has no address

Found on reading the change: owners used the address of a holder unchecked when they granted or refused, and checked it only for queued requests. A malformed datagram reached that code. The decoder refuses it now, and all three answers go through one function.

--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -195,7 +195,7 @@
   message.attempt = grant.attempt;
   message.endpoint_id = grant.endpoint.id;
   message.is_hedge = grant.is_hedge;
-  Send(*network_address::Parse(grant.request.entry_vm), message);
+  TellHolder(message);
 }
 
 void slot_link::SendRejection(const service_shard& shard,
@@ -217,7 +217,7 @@
       MakeMessage(slot_message_type::kReject, shard, rejection.request);
   message.reason = rejection.reason;
   message.retry_after = rejection.retry_after;
-  Send(*network_address::Parse(rejection.request.entry_vm), message);
+  TellHolder(message);
 }
 
 void slot_link::StartProbe(const service_shard& shard,
@@ -494,6 +494,11 @@
   }
 }
 
+void slot_link::TellHolder(const slot_message& message) {
+  // Own keys hold the own address; others are checked when they are decoded.
+  Send(*network_address::Parse(message.request.key.entry_vm), message);
+}
+
 void slot_link::Send(const network_address& peer, const slot_message& message) {
   boost::system::error_code error;
   const boost::asio::ip::address host =
@@ -564,12 +569,7 @@
   }
   if (message.type == slot_message_type::kSubmit && scheduler.IsKnown(key) &&
       scheduler.GrantsOf(key).empty()) {
-    const slot_message queued =
-        MakeMessage(slot_message_type::kQueued, message.shard, key);
-    const tl::expected<network_address, address_error_code> holder =
-        network_address::Parse(key.entry_vm);
-    if (holder)
-      Send(*holder, queued);
+    TellHolder(MakeMessage(slot_message_type::kQueued, message.shard, key));
   }
   Reschedule(message.shard);
 }
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -120,6 +120,8 @@
   bool IsSelf(const network_address& peer) const;
   // Passes a message to an owner, which may be this process.
   void TellOwner(const network_address& owner, const slot_message& message);
+  // Sends a message to the entry VM that its request key names.
+  void TellHolder(const slot_message& message);
   void Send(const network_address& peer, const slot_message& message);
   void Receive();
   void OnMessage(const slot_message& message, const std::string& sender_host);
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/network_address.h"
+
 namespace papayakeel {
 
 namespace {
@@ -121,6 +123,9 @@
         static_cast<slot_message_type>(Bounded(fields.at(1), kLastType));
     message.shard = DecodeShard(fields.at(2));
     message.request.key.entry_vm = fields.at(3).get<std::string>();
+    // Owners answer there.
+    if (!network_address::Parse(message.request.key.entry_vm))
+      return std::nullopt;
     message.request.key.number = fields.at(4).get<std::uint64_t>();
     switch (message.type) {
       case slot_message_type::kSubmit:
--- a/tests/modules/slot_link/slot_message_test.cc
+++ b/tests/modules/slot_link/slot_message_test.cc
@@ -62,6 +62,18 @@
   CHECK(reject.retry_after == milliseconds(250));
 }
 
+// Guards against a holder that cannot be answered: its address was used
+// unchecked when the request got a slot.
+TEST(slot_message, RefusesAHolderWithoutAddress) {
+  const monotonic_time now{};
+  slot_message submit = MakeMessage(slot_message_type::kSubmit);
+  for (const char* const holder : {"", "10.0.0.1", "10.0.0.1:port"}) {
+    submit.request.key.entry_vm = holder;
+    CHECK_FALSE(
+        DecodeSlotMessage(EncodeSlotMessage(submit, now), now).has_value());
+  }
+}
+
 // Guards against datagrams of others, and cut ones, that end the process or
 // are taken for a message.
 TEST(slot_message, RefusesWhatIsNoMessage) {
