Keep the serving gate closed while an announced bundle is on its way

A new process opened its gate as soon as it had heard a peer. The gate now stays closed while a newer bundle that was not refused is announced, at most for the wait for peers, since its holder may be gone.

Ruled out: a late confirmation of the store.

--- a/modules/peer_link/peer_link.cc
+++ b/modules/peer_link/peer_link.cc
@@ -231,6 +231,10 @@
   return protocol_ ? protocol_->table().heard_size() : 0;
 }
 
+bool peer_link::IsNewerBundleAnnounced() const {
+  return exchange_.KnowsNewer(OwnPair(), event_loop::Now());
+}
+
 const peer_transport_counters& peer_link::transport_counters() const {
   static const peer_transport_counters kNone;
   return transport_ ? transport_->counters() : kNone;
--- a/modules/peer_link/peer_link.h
+++ b/modules/peer_link/peer_link.h
@@ -73,6 +73,10 @@
   // Members that are not dead and that this process has heard itself.
   std::size_t peers_heard() const;
 
+  // Whether a peer has announced a bundle that is newer than the own one and
+  // has not arrived.
+  bool IsNewerBundleAnnounced() const;
+
   // When a peer last showed that it has the same bundle in force, if ever.
   std::optional<monotonic_time> last_bundle_confirmation() const {
     return exchange_.last_confirmation();
--- a/modules/readiness/readiness_service.cc
+++ b/modules/readiness/readiness_service.cc
@@ -72,6 +72,7 @@
   view.has_configuration_answer =
       platform_->last_configuration_answer().has_value();
   view.peers_heard = peers_->peers_heard();
+  view.is_newer_announced = peers_->IsNewerBundleAnnounced();
   if (platform_->last_vm_list_answer()) {
     const network_address self = directory_->self().caller_address;
     view.other_entry_vms = static_cast<std::size_t>(
--- a/servers/bundles/serving_gate.cc
+++ b/servers/bundles/serving_gate.cc
@@ -11,6 +11,8 @@
       return "no bundle in force";
     case gate_state::kPeersNotHeard:
       return "no other entry VM reached";
+    case gate_state::kNewerAnnounced:
+      return "newer bundle announced by another entry VM";
     case gate_state::kConfirmationNeeded:
       return "bundle not confirmed since a pause";
   }
@@ -29,8 +31,9 @@
   if (!view.has_bundle)
     return gate_state::kNoBundle;
   if (!has_opened_) {
-    if (!MayOpen(view, now))
-      return gate_state::kPeersNotHeard;
+    const gate_state first = CheckFirst(view, now);
+    if (first != gate_state::kOpen)
+      return first;
     has_opened_ = true;
     woke_at_.reset();
   }
@@ -47,14 +50,18 @@
   return gate_state::kOpen;
 }
 
-bool serving_gate::MayOpen(const gate_view& view, monotonic_time now) const {
-  if (view.peers_heard > 0)
-    return true;
+gate_state serving_gate::CheckFirst(const gate_view& view,
+                                    monotonic_time now) const {
+  const bool has_waited = now - started_ >= settings_.peer_wait;
+  // After the wait the newer bundle cannot be had: its holder may be gone.
+  if (view.is_newer_announced && !has_waited)
+    return gate_state::kNewerAnnounced;
   const bool is_only_one =
       view.other_entry_vms == std::size_t{0} && view.has_configuration_answer;
-  if (is_only_one)
-    return true;
-  return settings_.serve_alone && now - started_ >= settings_.peer_wait;
+  const bool may_serve_alone = settings_.serve_alone && has_waited;
+  if (view.peers_heard > 0 || is_only_one || may_serve_alone)
+    return gate_state::kOpen;
+  return gate_state::kPeersNotHeard;
 }
 
 }  // namespace papayakeel
--- a/servers/bundles/serving_gate.h
+++ b/servers/bundles/serving_gate.h
@@ -15,6 +15,7 @@
   kOpen,
   kNoBundle,            // None has been accepted yet.
   kPeersNotHeard,       // Other entry VMs may have a newer bundle.
+  kNewerAnnounced,      // Another entry VM has a newer bundle.
   kConfirmationNeeded,  // Just woken; the bundle may be outdated.
 };
 
@@ -30,6 +31,8 @@
   // Entry VMs besides this one in the VM list; nothing while it is unread.
   std::optional<std::size_t> other_entry_vms;
   std::size_t peers_heard = 0;
+  // A peer has announced a newer bundle, which has not arrived.
+  bool is_newer_announced = false;
 };
 
 struct gate_settings {
@@ -52,7 +55,8 @@
   std::size_t pauses() const { return pauses_; }
 
  private:
-  bool MayOpen(const gate_view& view, monotonic_time now) const;
+  // Whether a process that has not served yet may begin to.
+  gate_state CheckFirst(const gate_view& view, monotonic_time now) const;
 
   const gate_settings settings_;
   const monotonic_time started_;
--- a/servers/membership/bundle_exchange.cc
+++ b/servers/membership/bundle_exchange.cc
@@ -1,6 +1,7 @@
 // Bookkeeping of bundle requests.
 #include "servers/membership/bundle_exchange.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace papayakeel {
@@ -22,11 +23,11 @@
     last_confirmation_ = now;
   if (offered <= own)
     return false;
+  if (!IsRefused(offered, now))
+    newest_offered_ = std::max(newest_offered_, offered);
   const bool is_asked = request_ && request_->asked >= offered &&
                         now - request_->sent_at < kRequestTimeout;
-  const auto refused = refused_.find(offered);
-  const bool is_refused = refused != refused_.end() && now < refused->second;
-  if (is_asked || is_refused)
+  if (is_asked || IsRefused(offered, now))
     return false;
   request_ = request{offered, now};
   return true;
@@ -42,6 +43,20 @@
     each = each->second <= now ? refused_.erase(each) : std::next(each);
   if (refused_.size() < kMaxRefused)
     refused_[refused] = now + kRefusedWait;
+  // Another bundle that is newer than the own one is announced again.
+  if (newest_offered_ == refused)
+    newest_offered_ = {};
+}
+
+bool bundle_exchange::KnowsNewer(const bundle_pair& own,
+                                 monotonic_time now) const {
+  return newest_offered_ > own && !IsRefused(newest_offered_, now);
+}
+
+bool bundle_exchange::IsRefused(const bundle_pair& offered,
+                                monotonic_time now) const {
+  const auto refused = refused_.find(offered);
+  return refused != refused_.end() && now < refused->second;
 }
 
 }  // namespace papayakeel
--- a/servers/membership/bundle_exchange.h
+++ b/servers/membership/bundle_exchange.h
@@ -32,6 +32,10 @@
   // The bundle of this pair was refused; it is not asked for again for 30 s.
   void OnRefused(const bundle_pair& refused, monotonic_time now);
 
+  // Whether a peer has announced a bundle that replaces `own` and that was not
+  // refused.
+  bool KnowsNewer(const bundle_pair& own, monotonic_time now) const;
+
   // When a peer last had the own bundle in force, if ever.
   std::optional<monotonic_time> last_confirmation() const {
     return last_confirmation_;
@@ -43,7 +47,10 @@
     monotonic_time sent_at;
   };
 
+  bool IsRefused(const bundle_pair& offered, monotonic_time now) const;
+
   std::optional<request> request_;
+  bundle_pair newest_offered_;  // Of those that were not refused.
   // Until when each refused bundle is not asked for; bounded.
   std::map<bundle_pair, monotonic_time> refused_;
   std::optional<monotonic_time> last_confirmation_;
--- a/tests/servers/bundles/serving_gate_test.cc
+++ b/tests/servers/bundles/serving_gate_test.cc
@@ -47,6 +47,31 @@
   CheckState(gate_state::kOpen, gate.Check(view, kStart + seconds(60)));
 }
 
+// Guards against a new process that serves its older bundle in the moment
+// between a peer's announcement of a newer one and its arrival.
+TEST(serving_gate, StaysClosedWhileAnAnnouncedBundleIsOnItsWay) {
+  serving_gate gate({}, kStart);
+  view.has_configuration_answer = true;
+  view.other_entry_vms = 2;
+  view.peers_heard = 1;
+  view.is_newer_announced = true;
+  CheckState(gate_state::kNewerAnnounced, gate.Check(view, kStart));
+  view.is_newer_announced = false;
+  CheckState(gate_state::kOpen, gate.Check(view, kStart + milliseconds(5)));
+}
+
+// Guards against a process that never opens because the only holder of a newer
+// bundle was lost after it had announced it.
+TEST(serving_gate, OpensAfterTheWaitWhenAnAnnouncedBundleNeverArrives) {
+  serving_gate gate({}, kStart);
+  view.other_entry_vms = 2;
+  view.peers_heard = 1;
+  view.is_newer_announced = true;
+  CheckState(gate_state::kNewerAnnounced,
+             gate.Check(view, kStart + seconds(1)));
+  CheckState(gate_state::kOpen, gate.Check(view, kStart + seconds(10)));
+}
+
 // Guards against opening before it is known whether there are others.
 TEST(serving_gate, StaysClosedWhileTheVmListIsUnread) {
   serving_gate gate({}, kStart);
--- a/tests/servers/membership/bundle_exchange_test.cc
+++ b/tests/servers/membership/bundle_exchange_test.cc
@@ -43,6 +43,21 @@
   CHECK(exchange.last_confirmation() == At(4));
 }
 
+// Guards against a newer bundle that is forgotten between its announcement and
+// its arrival, and against a refused one that is waited for.
+TEST(bundle_exchange, KnowsOfANewerBundleUntilItIsInForceOrRefused) {
+  bundle_exchange exchange;
+  CHECK_FALSE(exchange.KnowsNewer({1, 1}, At(0)));
+  exchange.OnPeerPair({2, 1}, {1, 1}, At(0));
+  exchange.OnPeerPair({1, 1}, {1, 1}, At(0));
+  CHECK(exchange.KnowsNewer({1, 1}, At(0)));
+  CHECK_FALSE(exchange.KnowsNewer({2, 1}, At(0)));
+  exchange.OnRefused({2, 1}, At(1));
+  CHECK_FALSE(exchange.KnowsNewer({1, 1}, At(1)));
+  exchange.OnPeerPair({2, 1}, {1, 1}, At(2));
+  CHECK_FALSE(exchange.KnowsNewer({1, 1}, At(2)));
+}
+
 // Guards against a refused bundle that is fetched with every message, and
 // against memory that grows with refused ones.
 TEST(bundle_exchange, RefusedPairWaits) {
