Never start work in a slow phase of an endpoint

Cause: the scheduler assumed that work on a slow endpoint goes on at its usual speed when the slow phase ends, so it started late requests there.

Change: a request never takes an endpoint that is in a slow phase unless its work is shorter than the rest of the phase; after 600 ms of slow reports the endpoint counts as slow for good. Work and crowding are learned from attempts that started at the usual speed. A new owner waits 40 ms for the first reports; endpoints that never report are used at once. Requests whose endpoint has a report on its way wait for it.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -19,6 +19,15 @@
 // Slowdown assumed when nothing is known: a quarter of the time at 5 times.
 constexpr double kUsualSlowdown = 1.6;
 
+// Reports above this tell of a slow phase.
+constexpr double kSlowReport = 1.35;
+// An endpoint that reports nothing else for this long does not only share its
+// VM with a noisy neighbour: four slow phases in a row are rare.
+constexpr time_span kLongSlowPhase = std::chrono::milliseconds(600);
+
+// Attempts differ by this much without telling anything about the endpoint.
+constexpr double kUsualSpread = 1.6;
+
 // A report older than this says nothing about the slots in use.
 constexpr time_span kSlotReportLimit = std::chrono::milliseconds(60);
 
@@ -45,6 +54,11 @@
 // An unanswered probe blocks the next one for this long.
 constexpr time_span kProbeTimeout = std::chrono::milliseconds(200);
 constexpr double kProbeBurst = 6;
+// Longest wait for the answer to a probe. It takes 2 ms on a calm path.
+constexpr time_span kProbeWait = std::chrono::milliseconds(12);
+// Wait for the first report of an endpoint. The budget for status checks of a
+// new owner allows one each 40 ms.
+constexpr time_span kFirstReportWait = std::chrono::milliseconds(40);
 
 // Share of a slow phase after which an attempt is seen to straggle.
 constexpr double kStraggleFrom = 2.5;
@@ -56,7 +70,8 @@
                                monotonic_time now)
     : entry_(std::move(entry)),
       warm_at_(now + entry_.warm_up_left),
-      probe_budget_(probes_per_second, kProbeBurst, std::chrono::seconds(1)) {
+      probe_budget_(probes_per_second, kProbeBurst, std::chrono::seconds(1)),
+      added_at_(now) {
   probe_budget_.Accrue(now);
 }
 
@@ -92,22 +107,21 @@
 }
 
 void endpoint_slots::Start(std::uint64_t attempt,
-                           time_span expected,
+                           time_span work,
+                           double crowding,
                            monotonic_time now) {
-  running_[attempt] = {now, std::max(expected, time_span(1)), CrowdedTime(now)};
-  NoteCrowding(now);
-}
-
-time_span endpoint_slots::CrowdedTime(monotonic_time now) const {
-  return crowded_since_ ? crowded_time_ + (now - *crowded_since_)
-                        : crowded_time_;
-}
-
-void endpoint_slots::NoteCrowding(monotonic_time now) {
-  crowded_time_ = CrowdedTime(now);
-  crowded_since_.reset();
-  if (entry_.slots > 1 && in_flight() >= entry_.slots)
-    crowded_since_ = now;
+  const endpoint_outlook outlook = Outlook(now);
+  running_attempt started;
+  started.started = now;
+  started.is_crowded = outlook.is_nearly_full;
+  started.is_at_usual_speed =
+      outlook.is_fresh && outlook.slowdown <= kSlowReport;
+  const double explained =
+      outlook.slowdown * (outlook.is_nearly_full ? crowding : 1);
+  started.expected =
+      std::max(FromMilliseconds(ToMilliseconds(work) * explained),
+               time_span(std::chrono::milliseconds(1)));
+  running_[attempt] = started;
 }
 
 bool endpoint_slots::IsNearlyFull(monotonic_time now) const {
@@ -117,18 +131,16 @@
 std::optional<endpoint_slots::ended_attempt> endpoint_slots::End(
     std::uint64_t attempt,
     attempt_outcome outcome,
-    time_span expected,
     monotonic_time now) {
   const auto found = running_.find(attempt);
   if (found == running_.end())
     return std::nullopt;
-  const time_span elapsed = now - found->second.started;
-  const ended_attempt ended{elapsed,
-                            CrowdedTime(now) - found->second.crowded_before};
-  if (found->second.started < load_asked_at_)
+  const running_attempt run = found->second;
+  const ended_attempt ended{now - run.started, run.is_crowded,
+                            run.is_at_usual_speed};
+  if (run.started < load_asked_at_)
     ++ended_since_load_;
   running_.erase(found);
-  NoteCrowding(now);
   const bool is_failure = outcome != attempt_outcome::kAnswered &&
                           outcome != attempt_outcome::kCancelled;
   if (outcome != attempt_outcome::kCancelled) {
@@ -141,12 +153,12 @@
   }
   // A cancelled attempt took at least this long.
   const double ratio =
-      ToMilliseconds(elapsed) / std::max(ToMilliseconds(expected), 1.0);
+      ToMilliseconds(ended.elapsed) / ToMilliseconds(run.expected);
   if (outcome == attempt_outcome::kCancelled && ratio < kStraggleFrom)
     return ended;
   if (outcome == attempt_outcome::kAnswered)
     failures_in_row_ = 0;
-  const double observed = std::clamp(ratio / kUsualSlowdown, 1.0, kMaxSlowdown);
+  const double observed = std::clamp(ratio / kUsualSpread, 1.0, kMaxSlowdown);
   observed_slowdown_ = Straggling(now);
   observed_slowdown_ += kObservedWeight * (observed - observed_slowdown_);
   observed_at_ = now;
@@ -184,23 +196,32 @@
     return;
   const monotonic_time asked = *probe_sent_;
   probe_sent_.reset();
+  has_ended_probe_ = true;
   if (!load)
     return;
-  load_ = load;
-  load_at_ = now;
+  NoteLoad(*load, now);
   load_asked_at_ = asked;
   is_load_from_probe_ = true;
   ended_since_load_ = 0;
 }
 
 void endpoint_slots::ApplyLoad(const endpoint_load& load, monotonic_time now) {
-  load_ = load;
-  load_at_ = now;
+  NoteLoad(load, now);
   load_asked_at_ = now;
   is_load_from_probe_ = false;
   ended_since_load_ = 0;
 }
 
+void endpoint_slots::NoteLoad(const endpoint_load& load, monotonic_time now) {
+  load_ = load;
+  load_at_ = now;
+  if (load.slowdown <= kSlowReport) {
+    slow_since_.reset();
+  } else if (!slow_since_) {
+    slow_since_ = now;
+  }
+}
+
 time_span endpoint_slots::ReportAge(monotonic_time now) const {
   return load_ ? now - load_at_ : time_span::max() / 2;
 }
@@ -214,7 +235,7 @@
                          ToMilliseconds(attempt.expected);
     if (ratio > kStraggleFrom)
       slowdown =
-          std::max(slowdown, std::min(ratio / kUsualSlowdown, kMaxSlowdown));
+          std::max(slowdown, std::min(ratio / kUsualSpread, kMaxSlowdown));
   }
   return slowdown;
 }
@@ -223,27 +244,26 @@
   endpoint_outlook outlook;
   const double age = std::min(ToMilliseconds(ReportAge(now)), 1e6);
   const double kept = std::exp(-age / ToMilliseconds(kSlowPhase));
-  const double reported =
-      load_ ? std::max(load_->slowdown, 0.1) : kUsualSlowdown;
-  outlook.slowdown = kept * reported + (1 - kept) * kUsualSlowdown;
+  // An endpoint whose probe was answered without a report never tells.
+  const bool has_told_nothing = !load_ && !has_ended_probe_;
+  outlook.is_unknown = has_told_nothing && now - added_at_ < kFirstReportWait;
+  const double usual = load_ || has_told_nothing ? kUsualSlowdown : 1;
+  const double reported = load_ ? std::max(load_->slowdown, 0.1) : usual;
+  outlook.slowdown = kept * reported + (1 - kept) * usual;
+  outlook.is_in_slow_phase = slow_since_ && now - *slow_since_ < kLongSlowPhase;
   outlook.multiplier = Straggling(now) * (1 + kFailureCost * failure_rate_);
   if (now < warm_at_)
     outlook.multiplier *= kColdFactor;
   outlook.is_nearly_full = IsNearlyFull(now);
   outlook.is_fresh = ReportAge(now) <= kFreshReport;
   outlook.is_probing = IsProbing();
+  outlook.is_report_due = probe_sent_ && now - *probe_sent_ < kProbeWait;
   return outlook;
 }
 
 time_span endpoint_outlook::ExpectedTime(time_span work,
                                          double crowding) const {
   double expected = ToMilliseconds(work) * slowdown;
-  // A slow phase ends; the rest of the work then takes its usual time.
-  if (slowdown > 1) {
-    expected =
-        std::min(expected, ToMilliseconds(work) +
-                               (1 - 1 / slowdown) * ToMilliseconds(kSlowPhase));
-  }
   if (is_nearly_full)
     expected *= crowding;
   return FromMilliseconds(expected * multiplier);
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -17,11 +17,16 @@
 // What an attempt may expect of an endpoint. Computed once for all requests
 // that wait, since it does not depend on the request.
 struct endpoint_outlook {
-  double slowdown = 1;    // Of work at this moment; ends with a slow phase.
-  double multiplier = 1;  // For a cold, straggling or failing endpoint.
-  bool is_nearly_full = false;  // One more attempt fills the endpoint.
-  bool is_fresh = false;        // The endpoint has just reported.
+  // Of work that starts at this moment; it keeps the speed of its start.
+  double slowdown = 1;
+  double multiplier = 1;          // For a cold, straggling or failing endpoint.
+  bool is_unknown = false;        // Too new for a first report.
+  bool is_in_slow_phase = false;  // Slow by its reports, and not for long.
+  bool is_nearly_full = false;    // One more attempt fills the endpoint.
+  bool is_fresh = false;          // The endpoint has just reported.
   bool is_probing = false;
+  // A probe that is on its way will tell more within a round trip.
+  bool is_report_due = false;
 
   // Expected time of work of this usual time. On an endpoint that it fills,
   // work takes `crowding` times as long.
@@ -49,16 +54,21 @@
   int Busy(monotonic_time now) const;
   int FreeSlots(monotonic_time now) const;
 
-  void Start(std::uint64_t attempt, time_span expected, monotonic_time now);
+  // Adds an attempt whose work takes `work` on an endpoint at its usual speed
+  // with free slots; `crowding` is the factor for one that fills the endpoint.
+  void Start(std::uint64_t attempt,
+             time_span work,
+             double crowding,
+             monotonic_time now);
   struct ended_attempt {
     time_span elapsed{0};
-    time_span crowded{0};  // Part of it with no slot left on the endpoint.
+    bool was_crowded = false;  // It took the last slot of the endpoint.
+    // The endpoint had just reported its usual speed when it started.
+    bool was_at_usual_speed = false;
   };
-  // Ends an attempt; `expected` is the usual time of its class. Returns nothing
-  // when the attempt is unknown.
+  // Ends an attempt. Returns nothing when it is unknown.
   std::optional<ended_attempt> End(std::uint64_t attempt,
                                    attempt_outcome outcome,
-                                   time_span expected,
                                    monotonic_time now);
 
   // A probe was sent; `TryProbe` first asks the budget.
@@ -81,14 +91,13 @@
  private:
   struct running_attempt {
     monotonic_time started;
-    time_span expected{1};
-    time_span crowded_before{0};  // Value of CrowdedTime at the start.
+    time_span expected{1};  // As reports and crowding explain it.
+    bool is_crowded = false;
+    bool is_at_usual_speed = false;
   };
 
   double Straggling(monotonic_time now) const;
-  // Time that the endpoint has had no slot left, by own attempts.
-  time_span CrowdedTime(monotonic_time now) const;
-  void NoteCrowding(monotonic_time now);
+  void NoteLoad(const endpoint_load& load, monotonic_time now);
   void OnFailure(attempt_outcome outcome, monotonic_time now);
 
   endpoint_entry entry_;
@@ -96,17 +105,18 @@
   monotonic_time warm_at_;
   std::map<std::uint64_t, running_attempt> running_;
 
-  time_span crowded_time_{0};  // Up to crowded_since_, or now when not set.
-  std::optional<monotonic_time> crowded_since_;
-
   std::optional<endpoint_load> load_;
   monotonic_time load_at_;
+  // Since when all reports have said that work is slow.
+  std::optional<monotonic_time> slow_since_;
   // Attempts that ended since the probe behind load_ was answered.
   int ended_since_load_ = 0;
   bool is_load_from_probe_ = false;
   monotonic_time load_asked_at_;
   std::optional<monotonic_time> probe_sent_;
+  bool has_ended_probe_ = false;
   token_bucket probe_budget_;
+  monotonic_time added_at_;
 
   // Observed time of answers relative to the expected time, beyond what the
   // reports explain; 1 is usual.
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -17,6 +17,9 @@
 constexpr time_span kHoldLimit = std::chrono::milliseconds(300);
 constexpr time_span kAskAgain = std::chrono::milliseconds(14);
 
+// Expected rest of a slow phase, and the time until it is noticed.
+constexpr time_span kSlowPhaseRest = std::chrono::milliseconds(100);
+
 // An endpoint is fast enough when the request is expected to take at most this
 // many times its usual time there.
 constexpr double kFastEnough = 1.35;
@@ -99,10 +102,6 @@
 // Below this, the last slot of an endpoint adds so much throughput that any
 // request may take it.
 constexpr double kSlightCrowding = 1.35;
-// Share of an attempt's time for which its endpoint was full, from which on the
-// attempt tells how much longer work takes there.
-constexpr double kMostlyCrowded = 0.7;
-
 // Tiers of the queue.
 constexpr int kTimelyTier = 0;
 constexpr int kLateTier = 1;
@@ -203,7 +202,7 @@
   const auto endpoint = endpoints_.find(endpoint_id);
   if (endpoint == endpoints_.end())
     return;
-  endpoint->second.Start(attempt, WorkOf(request), now);
+  endpoint->second.Start(attempt, WorkOf(request), Crowding(), now);
   record.running[attempt] = {endpoint_id, false};
   record.tried.insert(endpoint_id);
   // Its end may never be reported.
@@ -227,21 +226,13 @@
   record.running.erase(running);
   if (endpoint != endpoints_.end()) {
     const std::optional<endpoint_slots::ended_attempt> ended =
-        endpoint->second.End(attempt, outcome, work, now);
+        endpoint->second.End(attempt, outcome, now);
     if (load)
       endpoint->second.ApplyLoad(*load, now);
     if (ended && outcome == attempt_outcome::kAnswered) {
-      const auto estimate = estimates_.find(record.request.work_class);
-      const bool was_alone = ended->crowded == time_span(0);
-      if (was_alone && estimate != estimates_.end())
-        estimate->second.Add(ended->elapsed);
       holding_time_.Add(ended->elapsed);
-      const double ratio =
-          ToMilliseconds(ended->elapsed) / std::max(ToMilliseconds(work), 1.0);
-      if (was_alone)
-        alone_ratio_.Add(Scale(kRatioUnit, ratio));
-      else if (ended->crowded > Scale(ended->elapsed, kMostlyCrowded))
-        crowded_ratio_.Add(Scale(kRatioUnit, ratio));
+      if (ended->was_at_usual_speed)
+        LearnWork(record.request.work_class, work, *ended);
     }
   }
   if (outcome == attempt_outcome::kAnswered ||
@@ -270,16 +261,30 @@
   Pump(now);
 }
 
+void slot_scheduler::LearnWork(const std::string& work_class,
+                               time_span work,
+                               const endpoint_slots::ended_attempt& ended) {
+  const double ratio =
+      ToMilliseconds(ended.elapsed) / std::max(ToMilliseconds(work), 1.0);
+  if (ended.was_crowded) {
+    crowded_ratio_.Add(Scale(kRatioUnit, ratio));
+    return;
+  }
+  alone_ratio_.Add(Scale(kRatioUnit, ratio));
+  const auto estimate = estimates_.find(work_class);
+  if (estimate != estimates_.end())
+    estimate->second.Add(ended.elapsed);
+}
+
 void slot_scheduler::Cancel(const request_key& key, monotonic_time now) {
   const auto found = requests_.find(key);
   if (found == requests_.end())
     return;
   request_record& record = found->second;
-  const time_span work = WorkOf(record.request);
   for (const auto& [attempt, running] : record.running) {
     const auto endpoint = endpoints_.find(running.endpoint_id);
     if (endpoint != endpoints_.end())
-      endpoint->second.End(attempt, attempt_outcome::kCancelled, work, now);
+      endpoint->second.End(attempt, attempt_outcome::kCancelled, now);
   }
   Dequeue(record);
   hedges_due_.erase({record.hedge_at, key});
@@ -394,13 +399,7 @@
       Wake(*record.choosing_since + kProbeWait);
       return false;
     }
-    // Every endpoint that was asked is slow. Waiting helps while the request
-    // can still meet its goal; a late one loses nothing.
-    const time_span slack =
-        std::max(LatestStart(record.request) - now, time_span(0));
-    const time_span hold =
-        record.was_late ? kHoldLimit : std::min(kHoldLimit, slack);
-    if (!is_fast && chosen_for < hold) {
+    if (!is_fast && MustHold(record, outlook, chosen_for, now)) {
       Wake(now + kAskAgain);
       return false;
     }
@@ -415,6 +414,28 @@
   return true;
 }
 
+bool slot_scheduler::MustHold(const request_record& record,
+                              const endpoint_outlook& outlook,
+                              time_span chosen_for,
+                              monotonic_time now) const {
+  if (outlook.is_unknown || outlook.is_report_due)
+    return true;
+  const time_span work = WorkOf(record.request);
+  if (outlook.is_in_slow_phase) {
+    // An attempt keeps the speed of its start, so that one which starts in a
+    // slow phase holds its slot for several times its work. The phase ends
+    // sooner than that, unless the work is short.
+    const time_span lost = outlook.ExpectedTime(work, 1) - work;
+    return lost > kSlowPhaseRest;
+  }
+  // Every endpoint that was asked is slow. Waiting helps while the request can
+  // still meet its goal; a late one loses nothing.
+  const time_span slack =
+      std::max(LatestStart(record.request) - now, time_span(0));
+  return chosen_for <
+         (record.was_late ? kHoldLimit : std::min(kHoldLimit, slack));
+}
+
 time_span slot_scheduler::Cost(const request_record& record,
                                const candidate& choice,
                                double crowding) const {
@@ -448,6 +469,7 @@
     ++outstanding;
     ++counters_.probes;
     each.outlook.is_probing = true;
+    each.outlook.is_report_due = true;
     hooks_.probe(each.endpoint->entry());
   }
   return outstanding > 0;
@@ -471,7 +493,7 @@
   record.running[attempt] = {endpoint.entry().id, is_hedge};
   record.tried.insert(endpoint.entry().id);
   const time_span work = WorkOf(record.request);
-  endpoint.Start(attempt, work, now);
+  endpoint.Start(attempt, work, Crowding(), now);
   if (record.request.may_repeat && !is_hedge &&
       record.attempts < record.request.max_attempts) {
     hedges_due_.erase({record.hedge_at, record.request.key});
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -145,6 +145,15 @@
              std::vector<candidate>& free,
              bool is_first,
              monotonic_time now);
+  // Whether the request waits although this endpoint has a free slot, because
+  // work that starts there now takes much longer than usual.
+  bool MustHold(const request_record& record,
+                const endpoint_outlook& outlook,
+                time_span chosen_for,
+                monotonic_time now) const;
+  void LearnWork(const std::string& work_class,
+                 time_span work,
+                 const endpoint_slots::ended_attempt& ended);
   time_span Cost(const request_record& record,
                  const candidate& choice,
                  double crowding) const;
