Add a soak of real processes under seeded faults

papayakeel_fault_soak starts entry VMs as processes, the platform and endpoints as stand-ins behind relays, and kills, pauses, stops and reloads processes, cuts, delays and resets connections in one or both directions, silences the store and changes the desired state. Its checks run on the record of a run alone and have tests of their own.

--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -77,6 +77,7 @@
   Run([this] {
     store_ = Listen(
         [this](http_exchange exchange) { HandleStore(std::move(exchange)); });
+    published_store_address_ = store_->local_address();
   });
 }
 
@@ -239,6 +240,7 @@
     added.listener = Listen([this, index](const http_exchange& exchange) {
       HandleEndpoint(index, exchange);
     });
+    added.published_address = added.listener->local_address();
   });
   Register(index, false);
   return index;
@@ -247,7 +249,7 @@
 void platform_stand_in::Register(std::size_t endpoint, bool is_leaving) {
   stand_in_endpoint& known = *endpoints_.at(endpoint);
   const json entry = {
-      {"address", known.listener->local_address().ToString()},
+      {"address", known.published_address.ToString()},
       {"born", 1000},
       {"info",
        {{"service", kService}, {"version", "v1"}, {"zone", "z"}, {"slots", 2}}},
@@ -258,6 +260,20 @@
   Put("servers/" + known.id, entry.dump());
 }
 
+network_address platform_stand_in::AddressOf(std::size_t endpoint) const {
+  return endpoints_.at(endpoint)->listener->local_address();
+}
+
+void platform_stand_in::SetPublishedAddress(std::size_t endpoint,
+                                            const network_address& address) {
+  endpoints_.at(endpoint)->published_address = address;
+  Register(endpoint, false);
+}
+
+void platform_stand_in::Unregister(std::size_t endpoint) {
+  Remove("servers/" + endpoints_.at(endpoint)->id);
+}
+
 void platform_stand_in::HandleEndpoint(std::size_t index,
                                        const http_exchange& exchange) {
   stand_in_endpoint& endpoint = *endpoints_.at(index);
@@ -277,6 +293,7 @@
   }
   const std::string id(request["Papayakeel-Request-Id"]);
   ++arrivals_[id];
+  endpoint.last_arrival = std::chrono::steady_clock::now();
   response.set("Papayakeel-Request-Id", id);
   if (endpoint.is_rejecting) {
     response.result(http::status::service_unavailable);
@@ -318,6 +335,22 @@
   return runs;
 }
 
+std::optional<monotonic_time> platform_stand_in::LastArrivalOn(
+    std::size_t endpoint) {
+  std::optional<monotonic_time> last;
+  Run([&] { last = endpoints_.at(endpoint)->last_arrival; });
+  return last;
+}
+
+network_address platform_stand_in::StoreAddress() const {
+  return store_->local_address();
+}
+
+void platform_stand_in::SetPublishedStoreAddress(
+    const network_address& address) {
+  published_store_address_ = address;
+}
+
 std::size_t platform_stand_in::AddEntryVm(const std::string& log_path) {
   const std::size_t index = vms_.size();
   stand_in_vm added;
@@ -327,7 +360,8 @@
   const auto address = [&added](int port) {
     return added.host + ":" + std::to_string(port);
   };
-  std::ofstream settings(name + ".conf");
+  added.settings_path = name + ".conf";
+  std::ofstream settings(added.settings_path);
   settings << "node=edge-" << index
            << "\nzone=z\nlisten.front=" << address(kCallerPort)
            << "\nlisten.readiness=" << address(kReadinessPort)
@@ -339,18 +373,28 @@
            << "\nlimits.cpu_share=0.2\nlimits.memory_mb=260\n"
            << "bounds=grace=6s,retry_ratio=0.2,retry_window=10s,"
            << "retry_slack=58,probes_per_s=60\nplatform.address="
-           << store_->local_address().ToString() << "\n";
+           << published_store_address_.ToString() << "\n";
   settings.close();
+  StartProcess(added);
+  vms_.push_back(std::move(added));
+  return index;
+}
+
+void platform_stand_in::StartProcess(stand_in_vm& vm) {
   // The shell is replaced by the daemon, so that signals reach it.
-  added.process = std::make_unique<child_process>(
+  vm.process = std::make_unique<child_process>(
       std::vector<std::string>{"/bin/sh", "-c",
-                               "PAPAYAKEEL_BOOT=" + name + ".conf exec " +
+                               "PAPAYAKEEL_BOOT=" + vm.settings_path +
+                                   " exec " +
                                    std::string(PAPAYAKEEL_BINARY_DIR) +
-                                   "/papayakeeld --platform > " +
-                                   added.log_path},
-      name + ".err");
-  vms_.push_back(std::move(added));
-  return index;
+                                   "/papayakeeld --platform >> " + vm.log_path},
+      vm.settings_path + ".err");
+}
+
+void platform_stand_in::RestartEntryVm(std::size_t index) {
+  stand_in_vm& vm = vms_.at(index);
+  vm.process->Kill();
+  StartProcess(vm);
 }
 
 network_address platform_stand_in::CallersOf(std::size_t index) const {
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -52,6 +53,13 @@
   std::size_t AddEndpoint(time_span work);
   // Registers it anew, as leaving or not.
   void Register(std::size_t endpoint, bool is_leaving);
+  // Where the endpoint listens, and where entry VMs are told to find it when
+  // that is a relay.
+  network_address AddressOf(std::size_t endpoint) const;
+  void SetPublishedAddress(std::size_t endpoint,
+                           const network_address& address);
+  // Ends the endpoint's entry, as for one that has left.
+  void Unregister(std::size_t endpoint);
   // From now on it answers, after its work time, that it has not run requests.
   void Reject(std::size_t endpoint);
   // How often a request reached any endpoint.
@@ -59,10 +67,20 @@
   // How often an endpoint ran the request, or any request.
   int RunsOf(const std::string& request_id);
   int RunsOn(std::size_t endpoint);
+  // When a request last reached this endpoint.
+  std::optional<monotonic_time> LastArrivalOn(std::size_t endpoint);
 
   // Starts an entry VM at an address of its own. Its log goes to a file, or to
   // `log_path` when that is given.
   std::size_t AddEntryVm(const std::string& log_path = "");
+  // Ends the VM's process, if it still runs, and starts it anew.
+  void RestartEntryVm(std::size_t index);
+  // Where the store listens, and where VMs that are added later are told to
+  // find it when that is a relay.
+  network_address StoreAddress() const;
+  void SetPublishedStoreAddress(const network_address& address);
+  // The host part of the loopback addresses of this platform's VMs.
+  const std::string& host_prefix() const { return host_prefix_; }
   child_process& entry_vm(std::size_t index) { return *vms_.at(index).process; }
   network_address CallersOf(std::size_t index) const;
   std::string LogOf(std::size_t index) const;
@@ -86,10 +104,13 @@
     bool is_rejecting = false;
     int registrations = 0;
     int runs = 0;
+    std::optional<monotonic_time> last_arrival;
+    network_address published_address;
     std::unique_ptr<http_listener> listener;
   };
   struct stand_in_vm {
     std::string host;
+    std::string settings_path;
     std::string log_path;
     std::unique_ptr<child_process> process;
   };
@@ -98,6 +119,7 @@
   void Run(const std::function<void()>& action) const;
   std::unique_ptr<http_listener> Listen(
       std::function<void(http_exchange)> handle);
+  void StartProcess(stand_in_vm& vm);
   void HandleStore(http_exchange exchange);
   void HandleEndpoint(std::size_t index, const http_exchange& exchange);
   void Write(const std::string& key, const std::string* value);
@@ -116,6 +138,7 @@
   std::list<waiting_watch> watches_;
   std::vector<http_exchange> silenced_;  // Calls that get no answer.
   std::unique_ptr<http_listener> store_;
+  network_address published_store_address_;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
   std::map<std::string, int> arrivals_;  // By request id.
   std::map<std::string, int> runs_;
--- /dev/null
+++ b/tests/platform/soak/fault_plan.h
@@ -0,0 +1,54 @@
+// Which faults a run of the soak injects and when, drawn from a seed.
+#ifndef TESTS_PLATFORM_SOAK_FAULT_PLAN_H_
+#define TESTS_PLATFORM_SOAK_FAULT_PLAN_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/monotonic_time.h"
+
+namespace papayakeel::platform {
+
+enum class soak_fault {
+  kKillVm,
+  kPauseVm,
+  kStopVm,    // SIGTERM, then a new start.
+  kReloadVm,  // SIGHUP.
+  kKillAll,
+  kStoreRefuses,
+  kStoreSilent,
+  kStoreCut,    // The bytes to the store are lost.
+  kStoreReset,  // Its connections are reset.
+  kEndpointCut,
+  kEndpointCutBack,  // Answers are lost, requests are not.
+  kEndpointDelayed,
+  kEndpointReset,
+  kEndpointLeaves,
+  kNewState,
+};
+constexpr int kSoakFaultKinds = static_cast<int>(soak_fault::kNewState) + 1;
+
+const char* ToString(soak_fault fault);
+
+struct planned_fault {
+  time_span at{0};  // From the start of traffic.
+  soak_fault kind = soak_fault::kKillVm;
+  std::size_t target = 0;  // Index of a VM or an endpoint, where it has one.
+  time_span lasts{0};
+};
+
+struct soak_size {
+  std::size_t vms = 3;
+  std::size_t endpoints = 5;
+  time_span length = std::chrono::seconds(20);
+};
+
+// Faults in order of time. They come in series and overlap.
+std::vector<planned_fault> MakeFaultPlan(std::uint64_t seed,
+                                         const soak_size& size);
+
+}  // namespace papayakeel::platform
+
+#endif  // TESTS_PLATFORM_SOAK_FAULT_PLAN_H_
--- /dev/null
+++ b/tests/platform/soak/fault_soak.h
@@ -0,0 +1,71 @@
+// One run of the soak: entry VMs as real processes, the platform and endpoints
+// as stand-ins behind relays, callers, and faults from a plan.
+#ifndef TESTS_PLATFORM_SOAK_FAULT_SOAK_H_
+#define TESTS_PLATFORM_SOAK_FAULT_SOAK_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/platform/process/platform_stand_in.h"
+#include "tests/platform/soak/fault_plan.h"
+#include "tests/platform/soak/soak_record.h"
+#include "tests/process/support/tcp_relay.h"
+
+namespace papayakeel::platform {
+
+class fault_soak {
+ public:
+  fault_soak(std::uint64_t seed, soak_size size);
+
+  // Starts the VMs. Returns false when they are not ready within 20 s.
+  bool Start();
+
+  // Plays the plan under traffic, ends all faults and collects the record.
+  soak_record Run();
+
+  // Whether every VM is ready and serves within the stated time for recovery.
+  bool IsRecovered();
+
+  // The log of a VM, for a run that is traced.
+  std::string LogOf(std::size_t vm) const { return site_.LogOf(vm); }
+
+ private:
+  struct pending_end {
+    monotonic_time at;
+    std::size_t fault = 0;  // Index in record_.faults.
+    std::function<void()> end;
+  };
+
+  void Begin(const planned_fault& planned);
+  void BeginVmFault(const planned_fault& planned);
+  void BeginEndpointFault(const planned_fault& planned);
+  void EndDueFaults();
+  void EndLater(const planned_fault& planned, std::function<void()> end);
+  void Restart(std::size_t vm);
+  void LeaveAndReturn(std::size_t endpoint, time_span lasts);
+  void PutNewState();
+  tcp_relay& RelayOf(std::size_t endpoint) {
+    return *endpoint_relays_.at(endpoint);
+  }
+  bool IsEveryVmReady() const;
+
+  const soak_size size_;
+  const std::uint64_t seed_;
+  platform_stand_in site_;
+  std::unique_ptr<tcp_relay> store_relay_;
+  std::vector<std::unique_ptr<tcp_relay>> endpoint_relays_;
+  std::vector<std::unique_ptr<std::atomic<int>>> boots_;  // By VM.
+  std::vector<bool> is_leaving_;                          // By endpoint.
+  std::atomic<int> newest_state_{0};
+  std::vector<std::string> lookups_;
+  std::vector<pending_end> pending_;
+  soak_record record_;
+};
+
+}  // namespace papayakeel::platform
+
+#endif  // TESTS_PLATFORM_SOAK_FAULT_SOAK_H_
--- /dev/null
+++ b/tests/platform/soak/soak_checks.cc
@@ -0,0 +1,146 @@
+// Checks of calls, desired states and leaving endpoints.
+#include "tests/platform/soak/soak_checks.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace papayakeel::platform {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Bounds that the users state. Time-bound invariants hold for VMs that nothing
+// has disturbed for kStable.
+constexpr time_span kStable = milliseconds(3000);
+constexpr time_span kStateInForce = milliseconds(2000);
+constexpr time_span kDrain = milliseconds(2000);
+// Wall-clock noise of a loaded machine between a write and its record.
+constexpr time_span kRecordSlack = milliseconds(250);
+
+bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+// A fault that lets time-bound invariants lapse, for one VM or all.
+bool Disturbs(const fault_record& fault, std::optional<std::size_t> vm) {
+  const bool is_planned = fault.kind == soak_fault::kNewState ||
+                          fault.kind == soak_fault::kEndpointLeaves;
+  return !is_planned && (!vm || !fault.vm || *fault.vm == *vm);
+}
+
+bool IsCalm(const soak_record& record,
+            std::optional<std::size_t> vm,
+            monotonic_time from,
+            monotonic_time to) {
+  return std::none_of(record.faults.begin(), record.faults.end(),
+                      [&](const fault_record& fault) {
+                        return Disturbs(fault, vm) && fault.from <= to &&
+                               fault.to + kStable >= from;
+                      });
+}
+
+std::string Describe(const call_record& call, const std::string& what) {
+  return what + ": request " + call.id + " at VM " + std::to_string(call.vm) +
+         " boot " + std::to_string(call.boot) + ", status " +
+         std::to_string(call.status) + ", runs " + std::to_string(call.runs);
+}
+
+void CheckCall(const call_record& call, std::vector<std::string>& found) {
+  if (call.is_once_only && call.runs > 1)
+    found.push_back(Describe(call, "once-only work ran twice"));
+  if (PromisesNotRun(call.status) && call.runs > 0)
+    found.push_back(Describe(call, "refused as not run, but it ran"));
+  if (call.status == 200 && (!call.is_own_answer || call.runs == 0))
+    found.push_back(Describe(call, "answer of another request"));
+  if (call.status == 404 && call.state_version == 0)
+    found.push_back(Describe(call, "existing route denied"));
+}
+
+void CheckStates(const soak_record& record, std::vector<std::string>& found) {
+  // Newest version seen in force, by VM and boot, with when it was answered.
+  std::map<std::pair<std::size_t, int>, std::pair<int, monotonic_time>> newest;
+  std::vector<call_record> calls = record.calls;
+  std::sort(calls.begin(), calls.end(),
+            [](const call_record& left, const call_record& right) {
+              return left.ended_at < right.ended_at;
+            });
+  for (const call_record& call : calls) {
+    if (call.status != 200 || call.state_version == 0)
+      continue;
+    std::pair<int, monotonic_time>& seen = newest[{call.vm, call.boot}];
+    if (call.state_version > seen.first)
+      seen = {call.state_version, call.ended_at};
+  }
+  for (const call_record& call : calls) {
+    if (call.status != 404 || call.state_version == 0)
+      continue;
+    const std::pair<int, monotonic_time>& seen = newest[{call.vm, call.boot}];
+    if (seen.first >= call.state_version && call.sent_at > seen.second)
+      found.push_back(Describe(call, "older state after a newer one"));
+    for (const state_record& state : record.states) {
+      const bool is_due =
+          state.version == call.state_version &&
+          call.sent_at > state.accepted_at + kStateInForce &&
+          IsCalm(record, call.vm, state.accepted_at - kStable, call.sent_at);
+      if (is_due)
+        found.push_back(Describe(call, "state not in force in time"));
+    }
+  }
+}
+
+void CheckLeaving(const soak_record& record, std::vector<std::string>& found) {
+  for (const leaving_record& leaving : record.leaving) {
+    if (!leaving.last_arrival)
+      continue;
+    const monotonic_time due = leaving.accepted_at + kDrain + kRecordSlack;
+    const bool is_late =
+        *leaving.last_arrival > due &&
+        IsCalm(record, std::nullopt, leaving.accepted_at - kStable,
+               *leaving.last_arrival);
+    if (is_late) {
+      found.push_back("leaving endpoint " + std::to_string(leaving.endpoint) +
+                      " got a request late");
+    }
+  }
+}
+
+// Requests that a VM held when it was told to stop are answered.
+void CheckStops(const soak_record& record, std::vector<std::string>& found) {
+  for (const fault_record& stop : record.faults) {
+    if (stop.kind != soak_fault::kStopVm)
+      continue;
+    for (const call_record& call : record.calls) {
+      const bool was_held = call.vm == *stop.vm &&
+                            call.sent_at + kRecordSlack < stop.from &&
+                            call.ended_at > stop.from;
+      if (!was_held || call.status != 0)
+        continue;
+      const bool is_disturbed = std::any_of(
+          record.faults.begin(), record.faults.end(),
+          [&](const fault_record& other) {
+            return &other != &stop && Disturbs(other, std::nullopt) &&
+                   other.from <= call.ended_at &&
+                   other.to + kStable >= call.sent_at;
+          });
+      if (!is_disturbed)
+        found.push_back(Describe(call, "cut by a planned stop"));
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> FindViolations(const soak_record& record) {
+  std::vector<std::string> found;
+  for (const call_record& call : record.calls)
+    CheckCall(call, found);
+  CheckStates(record, found);
+  CheckLeaving(record, found);
+  CheckStops(record, found);
+  return found;
+}
+
+}  // namespace papayakeel::platform
--- /dev/null
+++ b/tests/platform/soak/soak_checks.h
@@ -0,0 +1,17 @@
+// The invariants of a run of the soak, checked on its record alone.
+#ifndef TESTS_PLATFORM_SOAK_SOAK_CHECKS_H_
+#define TESTS_PLATFORM_SOAK_SOAK_CHECKS_H_
+
+#include <string>
+#include <vector>
+
+#include "tests/platform/soak/soak_record.h"
+
+namespace papayakeel::platform {
+
+// One line for each violation; empty when all invariants held.
+std::vector<std::string> FindViolations(const soak_record& record);
+
+}  // namespace papayakeel::platform
+
+#endif  // TESTS_PLATFORM_SOAK_SOAK_CHECKS_H_
--- a/tests/process/support/tcp_relay.h
+++ b/tests/process/support/tcp_relay.h
@@ -1,5 +1,5 @@
-// Forwards TCP connections to a process until it is cut. A cut loses every byte
-// without closing anything, as a partition does.
+// Forwards TCP connections to a process, and harms them: a cut loses every byte
+// without closing anything, as a partition does; it may hit one direction only.
 #ifndef TESTS_PROCESS_SUPPORT_TCP_RELAY_H_
 #define TESTS_PROCESS_SUPPORT_TCP_RELAY_H_
 
@@ -15,6 +15,14 @@
 
 namespace papayakeel {
 
+enum class relay_fault {
+  kNone,
+  kCut,        // Loses the bytes of both directions.
+  kCutTarget,  // Loses the bytes on their way to the target.
+  kCutSource,  // Loses the bytes on their way back.
+  kDelay,      // Holds bytes for a while.
+};
+
 class tcp_relay {
  public:
   tcp_relay(const network_address& listen, const network_address& target);
@@ -22,7 +30,13 @@
   tcp_relay(const tcp_relay&) = delete;
   tcp_relay& operator=(const tcp_relay&) = delete;
 
-  void Cut() { is_cut_ = true; }
+  void Cut() { SetFault(relay_fault::kCut); }
+  void SetFault(relay_fault fault) { fault_ = fault; }
+
+  network_address local_address() const;
+
+  // Resets all connections that are open now.
+  void Reset();
 
   // Forwards again. Connections that lost bytes are closed.
   void Heal();
@@ -41,12 +55,14 @@
 
   void Accept();
   void Forward(const link_pointer& pair, bool from_near);
+  void PassOn(const link_pointer& pair, bool from_near, std::size_t count);
+  bool Loses(bool from_near) const;
 
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const boost::asio::ip::tcp::endpoint target_;
   std::vector<link_pointer> links_;  // Only touched by `thread_`.
-  std::atomic<bool> is_cut_ = false;
+  std::atomic<relay_fault> fault_ = relay_fault::kNone;
   std::thread thread_;
 };
 
