Wait for the report of an endpoint whose probe is on its way

A request took an endpoint that had told nothing although a probe to it had just been sent; the new test of slow phases failed once in that window.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -244,10 +244,10 @@
   endpoint_outlook outlook;
   const double age = std::min(ToMilliseconds(ReportAge(now)), 1e6);
   const double kept = std::exp(-age / ToMilliseconds(kSlowPhase));
-  // An endpoint whose probe was answered without a report never tells.
-  const bool has_told_nothing = !load_ && !has_ended_probe_;
-  outlook.is_unknown = has_told_nothing && now - added_at_ < kFirstReportWait;
-  const double usual = load_ || has_told_nothing ? kUsualSlowdown : 1;
+  outlook.is_unknown =
+      !load_ && !has_ended_probe_ && now - added_at_ < kFirstReportWait;
+  // An endpoint that does not tell in time may never do so.
+  const double usual = load_ || outlook.is_unknown ? kUsualSlowdown : 1;
   const double reported = load_ ? std::max(load_->slowdown, 0.1) : usual;
   outlook.slowdown = kept * reported + (1 - kept) * usual;
   outlook.is_in_slow_phase = slow_since_ && now - *slow_since_ < kLongSlowPhase;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -395,8 +395,8 @@
       outlook.ExpectedTime(work, 1) <= Scale(work, kFastEnough);
   if (!outlook.is_fresh || !is_fast) {
     const bool is_asking = ProbeCandidates(choices, free, now);
-    if (is_asking && chosen_for < kProbeWait) {
-      Wake(*record.choosing_since + kProbeWait);
+    if (outlook.is_report_due || (is_asking && chosen_for < kProbeWait)) {
+      Wake(now + kProbeWait);
       return false;
     }
     if (!is_fast && MustHold(record, outlook, chosen_for, now)) {
@@ -418,7 +418,7 @@
                               const endpoint_outlook& outlook,
                               time_span chosen_for,
                               monotonic_time now) const {
-  if (outlook.is_unknown || outlook.is_report_due)
+  if (outlook.is_unknown)
     return true;
   const time_span work = WorkOf(record.request);
   if (outlook.is_in_slow_phase) {
