--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -25,9 +25,6 @@
 // How often a waiting request asks whether its owner still knows it.
 constexpr time_span kPollInterval = std::chrono::milliseconds(150);
 constexpr int kMaxUnanswered = 3;
-// After a start the other members become known within this time; in a fleet of
-// 141 VMs that starts together most are known after 0.6 s.
-constexpr time_span kJoinTime = std::chrono::milliseconds(1000);
 // How long an owner that did not answer is passed over.
 constexpr time_span kDistrustTime = std::chrono::seconds(2);
 
@@ -70,7 +67,6 @@
 slot_link::~slot_link() = default;
 
 void slot_link::Start() {
-  started_at_ = event_loop::Now();
   loop_ = registry_.Find<event_loop>(event_loop::kName);
   directory_ = registry_.Find<entry_directory>(entry_directory::kName);
   endpoints_ = registry_.Find<endpoint_registry>(endpoint_registry::kName);
@@ -157,7 +153,6 @@
   settings.repeats.window = settings_.repeat_window;
   settings.repeats.slack = settings_.repeat_slack * kSlackShare / shard.count;
   settings.probes_per_second = settings_.probes_per_second * kProbeShare;
-  settings.may_have_rivals_until = started_at_ + kJoinTime;
   owned.scheduler =
       std::make_unique<slot_scheduler>(settings, MakeHooks(shard), random_);
   owned.timer = std::make_unique<boost::asio::steady_timer>(loop_->context());
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -146,7 +146,6 @@
   std::unordered_map<std::uint64_t, held_request> held_;
   std::map<network_address, monotonic_time> distrusted_until_;
   std::uint64_t next_number_;
-  monotonic_time started_at_;
   monotonic_time shards_logged_at_;
   std::uint64_t owner_failures_ = 0;
   std::uint64_t stale_grants_ = 0;
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -256,7 +256,6 @@
     outlook.multiplier *= kColdFactor;
   outlook.is_nearly_full = IsNearlyFull(now);
   outlook.is_fresh = ReportAge(now) <= kFreshReport;
-  outlook.tells_load = load_.has_value();
   outlook.is_probing = IsProbing();
   outlook.is_report_due = probe_sent_ && now - *probe_sent_ < kProbeWait;
   return outlook;
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -24,7 +24,6 @@
   bool is_in_slow_phase = false;  // Slow by its reports, and not for long.
   bool is_nearly_full = false;    // One more attempt fills the endpoint.
   bool is_fresh = false;          // The endpoint has just reported.
-  bool tells_load = false;        // It has reported its load.
   bool is_probing = false;
   // A probe that is on its way will tell more within a round trip.
   bool is_report_due = false;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -129,8 +129,7 @@
       crowded_ratio_(kFirstCrowdedRatio, kRatioWeight),
       repeats_(settings_.repeats),
       // Attempt numbers of different owners must not meet.
-      next_attempt_(random_() >> 8),
-      first_choice_(random_()) {}
+      next_attempt_(random_() >> 8) {}
 
 void slot_scheduler::SetEndpoints(const std::vector<endpoint_entry>& endpoints,
                                   monotonic_time now) {
@@ -380,7 +379,7 @@
     const bool is_allowed = !each.outlook.is_nearly_full ||
                             crowding < kSlightCrowding ||
                             (is_first && MayCrowd(record, each.outlook, now));
-    if (!is_tried && is_allowed && !IsLeftToRivals(each, now))
+    if (!is_tried && is_allowed)
       choices.emplace_back(Cost(record, each, crowding), index);
   }
   if (choices.empty())
@@ -388,20 +387,8 @@
   if (!record.choosing_since)
     record.choosing_since = now;
   const time_span chosen_for = now - *record.choosing_since;
-  // Owners that exist side by side must not all prefer the same of several
-  // equal endpoints.
-  const std::size_t first = first_choice_ % free.size();
-  const auto order = [&free,
-                      first](const std::pair<time_span, std::size_t>& each) {
-    return std::make_pair(each.first,
-                          (each.second + free.size() - first) % free.size());
-  };
   const std::size_t best =
-      std::min_element(choices.begin(), choices.end(),
-                       [&order](const auto& left, const auto& right) {
-                         return order(left) < order(right);
-                       })
-          ->second;
+      std::min_element(choices.begin(), choices.end())->second;
   const endpoint_outlook& outlook = free[best].outlook;
   const time_span work = WorkOf(record.request);
   const bool is_fast =
@@ -412,9 +399,7 @@
       Wake(now + kProbeWait);
       return false;
     }
-    const bool is_unsafe = now < settings_.may_have_rivals_until &&
-                           outlook.tells_load && !outlook.is_fresh;
-    if (is_unsafe || (!is_fast && MustHold(record, outlook, chosen_for, now))) {
+    if (!is_fast && MustHold(record, outlook, chosen_for, now)) {
       Wake(now + kAskAgain);
       return false;
     }
@@ -429,12 +414,6 @@
   return true;
 }
 
-bool slot_scheduler::IsLeftToRivals(const candidate& choice,
-                                    monotonic_time now) const {
-  return now < settings_.may_have_rivals_until &&
-         choice.endpoint->Busy(now) > 0;
-}
-
 bool slot_scheduler::MustHold(const request_record& record,
                               const endpoint_outlook& outlook,
                               time_span chosen_for,
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -151,8 +151,6 @@
                 const endpoint_outlook& outlook,
                 time_span chosen_for,
                 monotonic_time now) const;
-  // Whether the endpoint is left alone while others may own the service too.
-  bool IsLeftToRivals(const candidate& choice, monotonic_time now) const;
   void LearnWork(const std::string& work_class,
                  time_span work,
                  const endpoint_slots::ended_attempt& ended);
@@ -219,7 +217,6 @@
   monotonic_time late_rate_at_;
   repeat_window repeats_;
   std::uint64_t next_attempt_;
-  const std::uint64_t first_choice_;  // Breaks ties between endpoints.
   std::optional<monotonic_time> wake_at_;
   monotonic_time last_sweep_;
   slot_counters counters_;
--- a/servers/scheduling/slot_settings.h
+++ b/servers/scheduling/slot_settings.h
@@ -6,7 +6,6 @@
 
 #include <string>
 
-#include "core/monotonic_time.h"
 #include "servers/scheduling/repeat_window.h"
 
 namespace papayakeel {
@@ -16,9 +15,6 @@
   repeat_window_settings repeats;
   // Status checks that one scheduler may make, for each endpoint and second.
   double probes_per_second = 0;
-  // Until then other processes may believe that they own the service too, so
-  // that only endpoints which have just reported no work are used.
-  monotonic_time may_have_rivals_until;
 };
 
 }  // namespace papayakeel
