Learn the time of work on endpoints that never report their load

Work is learned from attempts that started at the usual speed, which only reports show; without them a class kept its first estimate for ever. The new test failed before.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -114,8 +114,9 @@
   running_attempt started;
   started.started = now;
   started.is_crowded = outlook.is_nearly_full;
+  // Without reports the slow phases are part of the usual time.
   started.is_at_usual_speed =
-      outlook.is_fresh && outlook.slowdown <= kSlowReport;
+      !load_ || (outlook.is_fresh && outlook.slowdown <= kSlowReport);
   const double explained =
       outlook.slowdown * (outlook.is_nearly_full ? crowding : 1);
   started.expected =
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -63,7 +63,8 @@
   struct ended_attempt {
     time_span elapsed{0};
     bool was_crowded = false;  // It took the last slot of the endpoint.
-    // The endpoint had just reported its usual speed when it started.
+    // The endpoint had just reported its usual speed when it started, or never
+    // reports.
     bool was_at_usual_speed = false;
   };
   // Ends an attempt. Returns nothing when it is unknown.
--- a/tests/servers/scheduling/slot_scheduler_test.cc
+++ b/tests/servers/scheduling/slot_scheduler_test.cc
@@ -369,6 +369,26 @@
   LONGS_EQUAL(1, run.grants.size());
 }
 
+// Guards against work whose time is never learned because its endpoints do not
+// tell how slow they are.
+TEST(slot_scheduler, LearnsWorkWithoutReports) {
+  recorded_scheduler run;
+  run.SetEndpoints(2);
+  for (std::uint64_t number = 1; number <= 40; ++number) {
+    run.scheduler().Submit(run.MakeRequest(number, false), run.now);
+    run.RunFor(milliseconds(60));
+    for (; !run.probes.empty(); run.probes.pop_back())
+      run.scheduler().ReportProbe(run.probes.back(), std::nullopt, run.now);
+    run.RunFor(milliseconds(60));
+    CHECK(run.grants.size() >= number);
+    run.RunFor(milliseconds(20));
+    run.scheduler().Report(run.grants.back().request, run.grants.back().attempt,
+                           attempt_outcome::kAnswered, std::nullopt, run.now);
+  }
+  const slot_scheduler::summary summary = run.scheduler().Summarize(run.now);
+  CHECK(summary.usual_work.at("booking") < milliseconds(160));
+}
+
 // Guards against hedges and retries beyond the budget.
 TEST(slot_scheduler, RepeatsStayWithinTheBudget) {
   scheduler_load load;
