Watch the store briefly while its readers fail

The store fell silent, the readers refused their followers, and the followers opened a watch of 25 s at the silent store, which is never answered. Ruled out: frozen VMs and clocks (VMs without either were as late), readers that were late (in force 1.2 s after the return).

A VM of a large fleet now never opens a long watch at the store. The new test failed before.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -193,7 +193,11 @@
   if (!has_joined_)
     return Schedule(kJoinCheck, [this] { Watch(); });
   const bool is_following = ChooseSource() != settings_.store;
-  const bool is_quick = is_following || is_reader_;
+  // One whose readers have all failed returns to them soon, and a store that
+  // has fallen silent would hold a long watch far beyond its return.
+  const bool is_passing_over =
+      !is_following && directory_->members().size() >= kRelayedFleet;
+  const bool is_quick = is_following || is_reader_ || is_passing_over;
   time_span wait = must_list_again_ ? kShortWatchWait : kWatchWait;
   if (is_quick)
     wait = kRelayedWatchWait;
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -174,6 +174,43 @@
   LONGS_EQUAL(1, targets.size());
 }
 
+// Guards against a process whose readers have lost the store and that opens a
+// long watch there: a silent store never answers it, and the process keeps an
+// outdated state for half a minute after the readers are back.
+TEST(state_feed, WatchesTheStoreBrieflyWhileReadersFail) {
+  std::vector<time_span> waits;
+  feed_process process;
+  boost::asio::io_context& context = process.context();
+  store_stand_in store(context, [&waits](const std::string& target) {
+    const std::optional<store_question> question =
+        platform::MakeStoreContract().read_question(target);
+    if (!question->is_watch)
+      return MakeAnswer("{\"items\":[],\"as_of\":1}");
+    waits.push_back(question->wait);
+    return MakeAnswer("{\"events\":[],\"as_of\":1}");
+  });
+  store_stand_in reader(context, [](const std::string&) {
+    return http_response(http::status::service_unavailable, 11);
+  });
+  process.Start(store.address(), reader.address());
+  context.run_for(milliseconds(150));
+  std::vector<member> others;
+  for (int index = 0; index < 40; ++index) {
+    member other;
+    other.peer_address = {"127.0.0.1",
+                          static_cast<std::uint16_t>(7000 + index)};
+    other.capacity = 500;
+    others.push_back(other);
+  }
+  process.Find<entry_directory>()->SetMembers(others);
+  RunUntil(context, [&waits] { return !waits.empty(); });
+  process.Stop();
+  CHECK(!waits.empty());
+  // Changes are in force everywhere within 2 s.
+  for (const time_span wait : waits)
+    CHECK(wait < seconds(2));
+}
+
 // Guards against a process that was cut off for seconds and goes on using an
 // endpoint that left meanwhile, and against endpoints given up because their
 // entries expired during an outage of the store.
