Skip answers to requests in status checks

A status check took the first answer on its connection for its own, even one that bears the id of an earlier request. Its own answer was then left to the next request on the connection, which ended as broken. Status checks now skip answers with an id, as requests skip those with another id.

On the code before, AnswerWithAnIdIsNotThatOfAStatusCheck printed "CHECK(check.load.has_value()) failed".

--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -190,8 +190,7 @@
 bool endpoint_connection::IsForOtherExchange() const {
   const http_response& answer = parser_->get();
   const auto id = answer.find(contract_.headers.request_id);
-  return !exchange_.request_id.empty() && id != answer.end() &&
-         id->value() != exchange_.request_id;
+  return id != answer.end() && id->value() != exchange_.request_id;
 }
 
 void endpoint_connection::RememberRefusal() {
--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -152,6 +152,27 @@
   STRCMP_EQUAL("answered", OutcomeOf("r3").c_str());
 }
 
+// Guards against the answer to a request that is believed as the answer to a
+// status check, which leaves the check's own answer to the next request.
+TEST(endpoint_link, AnswerWithAnIdIsNotThatOfAStatusCheck) {
+  Serve([](std::size_t, std::size_t request, const std::string& header) {
+    if (request == 1) {
+      return server_script{
+          Answer("r1") +
+              "HTTP/1.1 200 OK\r\nPapayakeel-Server-Load: 1,0,8\r\n"
+              "Content-Length: 0\r\n\r\n",
+          "",
+          {}};
+    }
+    return server_script{Answer(IdOf(header)), "", {}};
+  });
+  STRCMP_EQUAL("answered", OutcomeOf("r1").c_str());
+  const endpoint_result check = Exchange("");
+  CHECK(check.load.has_value());
+  STRCMP_EQUAL("answered", OutcomeOf("r2").c_str());
+  LONGS_EQUAL(1, server->connections());
+}
+
 // Guards against the head of a refusal that broke off and that lends its
 // "not run" to the answer behind it.
 TEST(endpoint_link, BrokenOffRefusalIsNotJoinedToTheAnswer) {
