Bound what a fetch reads of an answer without end

A store or relay that writes a chunk extension or a trailer without end, or a Content-Length that no memory holds, ended the process. Chunk headers of 8 KiB each kept a fetch busy until its timeout.

Beast's read operations buffer an incomplete chunk header without a limit and do not count framing, and an eager parser passes over the error of a Content-Length beyond the limit and reserves that length. answer_reader drives the parser itself: it is not eager until the header is read, a chunk header or trailer of more than 128 KiB breaks the answer, and so does framing that is longer than the body may be.

http_fetch.EndlessAnswerEndsWithinBoundedBytes on the old code, under `ulimit -v 3000000` and one case at a time: "terminate called after throwing an instance of 'std::bad_alloc'" for a huge length, a chunk extension and a trailer; "expected <broken> but was <timed_out>" for extensions of chunks.

--- /dev/null
+++ b/modules/http/answer_reader.cc
@@ -0,0 +1,108 @@
+// The parser is driven here and not by Beast's read operations: these read on
+// without a callback while a chunk header is incomplete, and their buffers and
+// the framing of chunks are not limited.
+#include "modules/http/answer_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/error.hpp>
+
+namespace papayakeel {
+
+namespace {
+
+// Read at a time, before and after the end of the header. Most answers fit the
+// first, and many exchanges wait for their first byte at a time.
+constexpr std::size_t kFirstReadBytes = 4 * 1024;
+constexpr std::size_t kBodyReadBytes = 64 * 1024;
+
+// Chunk headers and trailers are parsed only whole.
+constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
+
+constexpr std::size_t kMaxIdleBytes = 8 * 1024;
+
+}  // namespace
+
+answer_reader::answer_reader() : buffer_(kMaxBufferedBytes) {}
+
+void answer_reader::Start(const answer_limits& limits) {
+  limits_ = limits;
+  parsed_bytes_ = 0;
+  error_.clear();
+  parser_.emplace();
+  parser_->header_limit(limits.header_bytes);
+  parser_->body_limit(limits.body_bytes);
+  if (limits.is_head)
+    parser_->skip(true);
+}
+
+boost::asio::mutable_buffer answer_reader::Prepare() {
+  const std::size_t wanted =
+      parser_->is_header_done() ? kBodyReadBytes : kFirstReadBytes;
+  // `Parse` leaves room.
+  return buffer_.prepare(std::min(wanted, buffer_.max_size() - buffer_.size()));
+}
+
+answer_state answer_reader::Receive(const boost::system::error_code& error,
+                                    std::size_t size) {
+  buffer_.commit(size);
+  if (!error)
+    return Parse();
+  if (error != boost::asio::error::eof)
+    return Break(error.message());
+  if (!parser_->got_some())
+    return Break("end of stream");
+  boost::system::error_code end_error;
+  parser_->put_eof(end_error);
+  if (end_error)
+    return Break(end_error.message());
+  return answer_state::kComplete;
+}
+
+answer_state answer_reader::Parse() {
+  while (!parser_->is_done()) {
+    if (buffer_.size() == 0)
+      return answer_state::kIncomplete;
+    boost::system::error_code error;
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    parsed_bytes_ += used;
+    const bool is_too_long =
+        parsed_bytes_ > limits_.header_bytes &&
+        (parsed_bytes_ - limits_.header_bytes) / 2 > limits_.body_bytes;
+    if (is_too_long)
+      return Break("answer too long");
+    if (error == http::error::need_more) {
+      return buffer_.size() < buffer_.max_size() ? answer_state::kIncomplete
+                                                 : Break("answer too long");
+    }
+    if (error)
+      return Break(error.message());
+    // Until the header is read, an eager parser would pass over the error of a
+    // length beyond the limit and reserve that length.
+    parser_->eager(parser_->is_header_done());
+  }
+  return answer_state::kComplete;
+}
+
+std::size_t answer_reader::held_bytes() const {
+  // The parser reserves a stated length before the first byte of the body.
+  const std::size_t announced =
+      parser_->is_header_done() && !parser_->is_done()
+          ? parser_->content_length_remaining().value_or(0)
+          : 0;
+  return parsed_bytes_ + std::max(buffer_.size(), announced);
+}
+
+answer_state answer_reader::Break(std::string error) {
+  error_ = std::move(error);
+  return answer_state::kBroken;
+}
+
+void answer_reader::Shrink() {
+  if (buffer_.capacity() > kMaxIdleBytes)
+    buffer_.shrink_to_fit();
+}
+
+}  // namespace papayakeel
--- /dev/null
+++ b/modules/http/answer_reader.h
@@ -0,0 +1,81 @@
+// Parses the answers on one connection to an HTTP/1.1 server, without doing any
+// input. What it holds and what it parses of one answer is bounded, whatever
+// the server writes.
+#ifndef MODULES_HTTP_ANSWER_READER_H_
+#define MODULES_HTTP_ANSWER_READER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/system/error_code.hpp>
+
+#include "modules/http/http_types.h"
+
+namespace papayakeel {
+
+struct answer_limits {
+  std::uint32_t header_bytes = 64 * 1024;
+  // Of the body without its framing. Framing may take as much again.
+  std::size_t body_bytes = 1 << 20;
+  // The answer to a HEAD request, which has no body.
+  bool is_head = false;
+};
+
+enum class answer_state {
+  kIncomplete,  // More bytes are needed.
+  kComplete,
+  kBroken,  // Malformed, beyond a limit, or cut off.
+};
+
+class answer_reader {
+ public:
+  answer_reader();
+
+  // Begins the next answer. Bytes that follow the last one are its first.
+  void Start(const answer_limits& limits);
+
+  // Returns where the next bytes from the server go.
+  boost::asio::mutable_buffer Prepare();
+  // Takes the result of a read into the prepared buffer.
+  answer_state Receive(const boost::system::error_code& error,
+                       std::size_t size);
+  // Parses the bytes that are there.
+  answer_state Parse();
+
+  bool is_complete() const { return parser_ && parser_->is_done(); }
+  // Whether a byte of the answer has arrived.
+  bool has_bytes() const { return parser_ && parser_->got_some(); }
+  // Whether bytes follow the answer.
+  bool has_surplus() const { return buffer_.size() > 0; }
+  // Whether only the end of the connection ends the answer.
+  bool ends_with_connection() const { return parser_->need_eof(); }
+  // Bytes of the answer that have been parsed or wait to be, and those of its
+  // body that its stated length announces.
+  std::size_t held_bytes() const;
+  // The cause of kBroken.
+  const std::string& error() const { return error_; }
+
+  const http_response& answer() const { return parser_->get(); }
+  http_response Release() { return parser_->release(); }
+  // Drops the answer, but not the bytes that follow it.
+  void Drop() { parser_.reset(); }
+  // Gives back memory that an idle connection does not need.
+  void Shrink();
+
+ private:
+  answer_state Break(std::string error);
+
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  answer_limits limits_;
+  std::size_t parsed_bytes_ = 0;
+  std::string error_;
+};
+
+}  // namespace papayakeel
+
+#endif  // MODULES_HTTP_ANSWER_READER_H_
--- a/modules/http/http_fetch.cc
+++ b/modules/http/http_fetch.cc
@@ -7,16 +7,18 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
 #include "drivers/socket_options.h"
+#include "modules/http/answer_reader.h"
 
 namespace papayakeel {
 
 namespace {
 
+constexpr std::uint32_t kMaxHeaderBytes = 8 * 1024;
+
 class fetch_operation : public std::enable_shared_from_this<fetch_operation> {
  public:
   fetch_operation(boost::asio::io_context& context,
@@ -54,7 +56,6 @@
       request_.request.set(http::field::host, request_.server.ToString());
     request_.request.keep_alive(false);
     request_.request.prepare_payload();
-    parser_.body_limit(request_.max_answer_bytes);
     stream_.expires_after(request_.timeout);
     http::async_write(stream_, request_.request,
                       [self = shared_from_this()](
@@ -66,16 +67,31 @@
   }
 
   void Read() {
-    http::async_read(stream_, buffer_, parser_,
-                     [self = shared_from_this()](
-                         const boost::system::error_code& error, std::size_t) {
-                       if (error == boost::beast::error::timeout)
-                         return self->Finish(fetch_error_code::kTimedOut);
-                       if (error)
-                         return self->Finish(fetch_error_code::kBroken);
-                       self->stream_.close();
-                       self->done_(self->parser_.release());
-                     });
+    answer_limits limits;
+    limits.header_bytes = kMaxHeaderBytes;
+    limits.body_bytes = request_.max_answer_bytes;
+    limits.is_head = request_.request.method() == http::verb::head;
+    reader_.Start(limits);
+    ReadSome();
+  }
+
+  void ReadSome() {
+    stream_.async_read_some(
+        reader_.Prepare(),
+        [self = shared_from_this()](const boost::system::error_code& error,
+                                    std::size_t size) {
+          if (error == boost::beast::error::timeout)
+            return self->Finish(fetch_error_code::kTimedOut);
+          switch (self->reader_.Receive(error, size)) {
+            case answer_state::kIncomplete:
+              return self->ReadSome();
+            case answer_state::kBroken:
+              return self->Finish(fetch_error_code::kBroken);
+            case answer_state::kComplete:
+              self->stream_.close();
+              self->done_(self->reader_.Release());
+          }
+        });
   }
 
   void Finish(fetch_error_code code) {
@@ -84,8 +100,7 @@
   }
 
   boost::beast::tcp_stream stream_;
-  boost::beast::flat_buffer buffer_;
-  http::response_parser<http::string_body> parser_;
+  answer_reader reader_;
   fetch_request request_;
   fetch_callback done_;
 };
--- /dev/null
+++ b/tests/modules/http/http_fetch_test.cc
@@ -0,0 +1,94 @@
+// Tests of fetches from faulty servers, over loopback connections.
+#include "modules/http/http_fetch.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "tests/modules/support/endless_answers.h"
+#include "tests/modules/support/scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace papayakeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using fetch_result = tl::expected<http_response, fetch_error_code>;
+
+constexpr std::size_t kAnswerLimit = 512 << 10;
+// What the kernels may hold of the written bytes.
+constexpr std::uint64_t kKernelBytes = 8 << 20;
+
+}  // namespace
+
+TEST_GROUP(http_fetch) {
+  boost::asio::io_context context;
+  std::unique_ptr<scripted_server> server;
+
+  void teardown() override {
+    server.reset();
+  }
+
+  fetch_result FetchFrom(const server_script& script) {
+    server = std::make_unique<scripted_server>(
+        context, [script](std::size_t, std::size_t, const std::string&) {
+          return script;
+        });
+    fetch_request fetch;
+    fetch.server = server->address();
+    fetch.request = http_request(http::verb::get, "/", 11);
+    fetch.timeout = seconds(20);
+    fetch.max_answer_bytes = kAnswerLimit;
+    std::optional<fetch_result> result;
+    Fetch(context, std::move(fetch),
+          [&result](fetch_result ended) { result = std::move(ended); });
+    while (!result)
+      context.run_for(milliseconds(1));
+    for (int step = 0; step < 2000 && !server->AllAreClosed(); ++step)
+      context.run_for(milliseconds(1));
+    CHECK(server->AllAreClosed());
+    return std::move(*result);
+  }
+};
+
+// Guards against a fetch that reads an endless answer until its timeout, and
+// against the process that ends for want of memory.
+TEST(http_fetch, EndlessAnswerEndsWithinBoundedBytes) {
+  for (const endless_answer& each : MakeEndlessAnswers()) {
+    const fetch_result result = FetchFrom({each.start, each.endless, {}});
+    if (!each.is_whole) {
+      CHECK_FALSE_TEXT(result.has_value(), each.name);
+      STRCMP_EQUAL_TEXT("broken", ToString(result.error()), each.name);
+    }
+    CHECK_TEXT(server->bytes_written() < 3 * kAnswerLimit + kKernelBytes,
+               each.name);
+  }
+}
+
+// Guards against limits that break ordinary answers.
+TEST(http_fetch, ReadsAnswersOfEveryFraming) {
+  const std::string body(300 << 10, 'b');
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& bytes :
+       {start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body,
+        start + "Transfer-Encoding: chunked\r\n\r\n10\r\n" +
+            body.substr(0, 16) + "\r\n4aff0;x=y\r\n" + body.substr(16) +
+            "\r\n0\r\nX-Trailer: t\r\n\r\n"}) {
+    const fetch_result result = FetchFrom({bytes, "", {}});
+    CHECK(result.has_value());
+    LONGS_EQUAL(body.size(), result->body().size());
+  }
+  const fetch_result empty =
+      FetchFrom({start + "Content-Length: 0\r\n\r\n", "", {}});
+  CHECK(empty.has_value());
+}
+
+}  // namespace papayakeel
