Bound the memory that answers of endpoints take

An endpoint that writes bytes without end kept its attempt reading until the deadline and the process growing: a body with or without chunks, one huge chunk, chunk headers, interim answers or whole answers to other requests. Status checks read the same way.

The body limit of an attempt was the largest number there is. Now all answers together may take an eighth of the VM's memory limit, one of them half of that, from their first byte until they are written to the caller; a stated length counts as soon as the header is read. Answers that are interim or to other requests are read 16 times. An attempt beyond a limit is broken (never "not run") and its connection is closed.

AnswersShareTheMemory: "expected <broken> but was <answered>".

--- a/main/daemon/entry_daemon.cc
+++ b/main/daemon/entry_daemon.cc
@@ -99,8 +99,8 @@
   registry_.Register(std::make_unique<entry_directory>(self));
   registry_.Register(std::make_unique<desired_state_store>());
   registry_.Register(std::make_unique<endpoint_registry>());
-  registry_.Register(
-      std::make_unique<endpoint_link>(registry_, platform_.callers));
+  registry_.Register(std::make_unique<endpoint_link>(
+      registry_, platform_.callers, settings_.memory_limit_bytes));
   RegisterOperatorApiModule(registry_, process, [this] {
     const bool is_ready =
         registry_.Find<entry_gateway>(entry_gateway::kName)->IsReady();
--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -5,11 +5,9 @@
 #include <array>
 #include <charconv>
 #include <functional>
-#include <limits>
 #include <utility>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/http.hpp>
 
 #include "drivers/event_loop.h"
 #include "drivers/socket_options.h"
@@ -31,7 +29,9 @@
 // timeout must arrive before the endpoint closes the connection.
 constexpr time_span kIdleTimeoutMargin = std::chrono::milliseconds(1200);
 
-constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+// Interim answers and answers to earlier exchanges that are read before the
+// answer to a request. An endpoint that writes more of them may never end.
+constexpr int kMaxSkippedAnswers = 16;
 
 // Refusals after which a connection is not reused, which bounds the ids that it
 // remembers. One new connection in this many refusals costs next to nothing.
@@ -60,8 +60,12 @@
 }  // namespace
 
 endpoint_connection::endpoint_connection(boost::asio::io_context& context,
-                                         const caller_contract& contract)
-    : contract_(contract), stream_(context), deadline_timer_(context) {}
+                                         const caller_contract& contract,
+                                         std::shared_ptr<answer_memory> memory)
+    : contract_(contract),
+      stream_(context),
+      deadline_timer_(context),
+      memory_(std::move(memory)) {}
 
 void endpoint_connection::Run(endpoint_exchange exchange,
                               endpoint_callback done) {
@@ -70,6 +74,8 @@
   has_sent_ = false;
   has_timed_out_ = false;
   is_clean_ = false;
+  skipped_ = 0;
+  reader_.Drop();
   deadline_timer_.expires_at(exchange_.deadline);
   deadline_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
@@ -121,7 +127,7 @@
 }
 
 bool endpoint_connection::IsReusable(monotonic_time now) {
-  if (!is_open_ || !is_clean_ || buffer_.size() > 0 || now >= idle_deadline_)
+  if (!is_open_ || !is_clean_ || reader_.has_surplus() || now >= idle_deadline_)
     return false;
   if (has_anonymous_refusal_ || refused_ids_.size() >= kMaxRememberedRefusals)
     return false;
@@ -149,52 +155,76 @@
 }
 
 void endpoint_connection::Read() {
-  parser_.emplace();
-  parser_->header_limit(kMaxHeaderBytes);
-  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-  if (exchange_.is_head)
-    parser_->skip(true);
-  http::async_read(stream_, buffer_, *parser_,
-                   [self = shared_from_this()](
-                       const boost::system::error_code& error, std::size_t) {
-                     if (!self->done_)
-                       return;
-                     if (error)
-                       return self->Finish(attempt_outcome::kBroken,
-                                           error.message());
-                     self->HandleAnswer();
-                   });
+  answer_limits limits;
+  limits.body_bytes = memory_->single_limit();
+  limits.is_head = exchange_.is_head;
+  reader_.Start(limits);
+  share_ = std::make_shared<answer_share>(memory_);
+  OnState(reader_.Parse());
+}
+
+void endpoint_connection::ReadSome() {
+  stream_.async_read_some(
+      reader_.Prepare(),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t size) {
+        if (self->done_)
+          self->OnState(self->reader_.Receive(error, size));
+      });
+}
+
+void endpoint_connection::OnState(answer_state state) {
+  if (state == answer_state::kBroken)
+    return Finish(attempt_outcome::kBroken, reader_.error());
+  if (!share_->Resize(reader_.held_bytes()))
+    return Discard("no memory for the answer");
+  if (state == answer_state::kComplete)
+    return HandleAnswer();
+  ReadSome();
+}
+
+void endpoint_connection::Skip() {
+  ++skipped_;
+  if (skipped_ > kMaxSkippedAnswers)
+    return Discard("too many answers to other requests");
+  Read();
+}
+
+void endpoint_connection::Discard(std::string detail) {
+  reader_.Drop();
+  Finish(attempt_outcome::kBroken, std::move(detail));
 }
 
 void endpoint_connection::HandleAnswer() {
-  const http_response& answer = parser_->get();
+  const http_response& answer = reader_.answer();
   if (answer.result_int() < kFirstFinalStatus)
-    return Read();
+    return Skip();
   if (IsRefusal())
     RememberRefusal();
   // A late or repeated answer to an earlier exchange is skipped.
   if (IsForOtherExchange())
-    return Read();
+    return Skip();
   const attempt_outcome outcome = Classify();
-  is_clean_ = !is_writing_ && answer.keep_alive() && !parser_->need_eof();
+  is_clean_ =
+      !is_writing_ && answer.keep_alive() && !reader_.ends_with_connection();
   Finish(outcome,
          outcome == attempt_outcome::kBroken ? "answer without proof" : "");
 }
 
 bool endpoint_connection::IsRefusal() const {
-  const http_response& answer = parser_->get();
+  const http_response& answer = reader_.answer();
   return answer.result_int() == kMisdirectedStatus ||
          answer.find(contract_.headers.not_run) != answer.end();
 }
 
 bool endpoint_connection::IsForOtherExchange() const {
-  const http_response& answer = parser_->get();
+  const http_response& answer = reader_.answer();
   const auto id = answer.find(contract_.headers.request_id);
   return id != answer.end() && id->value() != exchange_.request_id;
 }
 
 void endpoint_connection::RememberRefusal() {
-  const http_response& answer = parser_->get();
+  const http_response& answer = reader_.answer();
   const auto id = answer.find(contract_.headers.request_id);
   if (id == answer.end()) {
     has_anonymous_refusal_ = true;
@@ -208,7 +238,7 @@
 }
 
 attempt_outcome endpoint_connection::Classify() const {
-  const http_response& answer = parser_->get();
+  const http_response& answer = reader_.answer();
   const header_names& names = contract_.headers;
   if (exchange_.request_id.empty())
     return attempt_outcome::kAnswered;
@@ -248,17 +278,21 @@
   result.has_timed_out = has_timed_out_;
   result.was_reused = has_carried_exchange_;
   result.detail = std::move(detail);
-  if (parser_ && parser_->is_done()) {
-    const http_response& answer = parser_->get();
+  if (reader_.is_complete()) {
+    const http_response& answer = reader_.answer();
     const auto load = answer.find(contract_.headers.endpoint_load);
     if (load != answer.end())
       result.load = contract_.read_load(ToStringView(load->value()));
     UpdateIdleDeadline(answer);
-    result.response = parser_->release();
+    result.response = reader_.Release();
+    result.memory = std::move(share_);
     has_carried_exchange_ = true;
   }
+  share_.reset();
   if (!is_clean_)
     Close();
+  else
+    reader_.Shrink();
   const endpoint_callback done = std::move(done_);
   done_ = nullptr;
   done(std::move(result));
--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -3,7 +3,8 @@
 // written, the whole answer was read, and no bytes follow the answer. An
 // endpoint may write an earlier refusal once more where the next answer is
 // expected, so a refusal counts only if no earlier refusal on the connection
-// can be mistaken for it.
+// can be mistaken for it. What an exchange reads is bounded: the answer by the
+// memory for answers, the answers to other exchanges before it by their number.
 #ifndef MODULES_ENDPOINT_LINK_ENDPOINT_CONNECTION_H_
 #define MODULES_ENDPOINT_LINK_ENDPOINT_CONNECTION_H_
 
@@ -14,11 +15,11 @@
 #include <unordered_set>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "modules/endpoint_link/endpoint_exchange.h"
 #include "modules/entry_gateway/caller_contract.h"
+#include "modules/http/answer_reader.h"
 
 namespace papayakeel {
 namespace detail {
@@ -27,7 +28,8 @@
     : public std::enable_shared_from_this<endpoint_connection> {
  public:
   endpoint_connection(boost::asio::io_context& context,
-                      const caller_contract& contract);
+                      const caller_contract& contract,
+                      std::shared_ptr<answer_memory> memory);
 
   // Runs one exchange. `done` is called asynchronously and exactly once, unless
   // `Abandon` is called first.
@@ -48,7 +50,13 @@
  private:
   void Write();
   void Read();
+  void ReadSome();
+  void OnState(answer_state state);
   void HandleAnswer();
+  // Reads on after an answer that is not the one to this exchange.
+  void Skip();
+  // Ends the exchange for an answer of which nothing is used.
+  void Discard(std::string detail);
   void Finish(attempt_outcome outcome, std::string detail);
   bool IsRefusal() const;
   bool IsForOtherExchange() const;
@@ -59,8 +67,10 @@
   const caller_contract& contract_;
   boost::beast::tcp_stream stream_;
   boost::asio::steady_timer deadline_timer_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  answer_reader reader_;
+  const std::shared_ptr<answer_memory> memory_;
+  std::shared_ptr<answer_share> share_;  // Of the answer in `reader_`.
+  int skipped_ = 0;  // Answers to other exchanges, and interim answers.
   endpoint_exchange exchange_;
   endpoint_callback done_;  // Set while an exchange runs.
   bool is_open_ = false;
--- a/modules/endpoint_link/endpoint_exchange.h
+++ b/modules/endpoint_link/endpoint_exchange.h
@@ -9,6 +9,7 @@
 
 #include "core/monotonic_time.h"
 #include "core/network_address.h"
+#include "modules/endpoint_link/answer_memory.h"
 #include "modules/http/http_types.h"
 #include "servers/scheduling/attempt_outcome.h"
 
@@ -33,6 +34,8 @@
 struct endpoint_result {
   attempt_outcome outcome = attempt_outcome::kBroken;
   http_response response;  // Only for kAnswered and kServerError.
+  // What `response` holds of the memory for answers; kept as long as it.
+  std::shared_ptr<const answer_share> memory;
   std::optional<endpoint_load> load;
   bool has_timed_out = false;
   bool was_reused = false;  // Sent on a pooled connection.
--- a/modules/endpoint_link/endpoint_link.cc
+++ b/modules/endpoint_link/endpoint_link.cc
@@ -21,8 +21,11 @@
 }  // namespace
 
 endpoint_link::endpoint_link(service_registry& registry,
-                             caller_contract contract)
-    : registry_(registry), contract_(std::move(contract)) {}
+                             caller_contract contract,
+                             std::size_t memory_limit_bytes)
+    : registry_(registry),
+      contract_(std::move(contract)),
+      memory_(std::make_shared<answer_memory>(memory_limit_bytes)) {}
 
 endpoint_link::~endpoint_link() = default;
 
@@ -87,7 +90,7 @@
   }
   ++opened_total_;
   return std::make_shared<detail::endpoint_connection>(loop_->context(),
-                                                       contract_);
+                                                       contract_, memory_);
 }
 
 endpoint_link::exchange_id endpoint_link::Begin(endpoint_exchange exchange,
@@ -135,7 +138,8 @@
   return {{"running", running_.size()},
           {"idle", idle},
           {"opened", opened_total_},
-          {"reused", reused_total_}};
+          {"reused", reused_total_},
+          {"answer_bytes", memory_->held()}};
 }
 
 }  // namespace papayakeel
--- a/modules/endpoint_link/endpoint_link.h
+++ b/modules/endpoint_link/endpoint_link.h
@@ -29,7 +29,10 @@
   static constexpr std::string_view kName = "endpoint_link";
   using exchange_id = std::uint64_t;
 
-  endpoint_link(service_registry& registry, caller_contract contract);
+  // Answers take a share of `memory_limit_bytes`.
+  endpoint_link(service_registry& registry,
+                caller_contract contract,
+                std::size_t memory_limit_bytes);
   ~endpoint_link() override;
 
   std::string_view name() const override { return kName; }
@@ -51,6 +54,7 @@
   std::uint64_t opened_total() const { return opened_total_; }
   std::uint64_t reused_total() const { return reused_total_; }
   std::size_t running() const { return running_.size(); }
+  const answer_memory& memory() const { return *memory_; }
 
  private:
   using connection_pointer = std::shared_ptr<detail::endpoint_connection>;
@@ -63,6 +67,7 @@
 
   service_registry& registry_;
   const caller_contract contract_;
+  const std::shared_ptr<answer_memory> memory_;
   event_loop* loop_ = nullptr;
   std::optional<boost::asio::steady_timer> timer_;
   // Idle connections, most recently used last.
--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -268,11 +268,13 @@
 
 void caller_session::Respond(std::uint64_t number,
                              http_response response,
-                             bool is_head) {
+                             bool is_head,
+                             std::shared_ptr<const void> memory) {
   if (pending_answer* const answered = FindUnanswered(number)) {
     answered->is_ready = true;
     answered->response = std::move(response);
     answered->is_head = is_head;
+    answered->memory = std::move(memory);
     answered->disconnect_callback = nullptr;
   }
   Flush();
@@ -303,12 +305,15 @@
   is_closing_ |= closes;
   is_writing_ = true;
   outgoing_ = SerializeResponse(ready.response, closes, ready.is_head);
+  outgoing_memory_ = ready.memory;
   ArmTimer();
   boost::asio::async_write(
       socket_, boost::asio::buffer(outgoing_),
       [self = shared_from_this(), closes](
           const boost::system::error_code& error, std::size_t) {
         self->is_writing_ = false;
+        self->outgoing_ = std::string();
+        self->outgoing_memory_.reset();
         if (error)
           return self->OnCallerDisconnected();
         self->OnWritten(closes);
--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -29,7 +29,11 @@
 
   // Sets the response to request `number`. Further calls for the same request
   // are ignored.
-  void Respond(std::uint64_t number, http_response response, bool is_head);
+  // `memory` is kept until the response is written.
+  void Respond(std::uint64_t number,
+               http_response response,
+               bool is_head,
+               std::shared_ptr<const void> memory = nullptr);
   // Sets a callback for a disconnect of the caller before the response to
   // request `number` is ready.
   void SetDisconnectCallback(std::uint64_t number,
@@ -49,6 +53,7 @@
     bool is_ready = false;
     http_response response;
     bool is_head = false;
+    std::shared_ptr<const void> memory;  // Held for `response`.
     std::function<void()> disconnect_callback;
   };
 
@@ -83,6 +88,7 @@
   std::deque<pending_answer> pending_;  // In request order.
   std::uint64_t next_number_ = 1;
   std::string outgoing_;
+  std::shared_ptr<const void> outgoing_memory_;  // Held for `outgoing_`.
   bool is_reading_ = false;
   bool is_writing_ = false;
   bool is_draining_ = false;
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -153,9 +153,11 @@
     return Stop(request_outcome::kCallerDisconnected, "caller_gone");
   switch (result.outcome) {
     case attempt_outcome::kAnswered:
-      return Answer(std::move(result.response), request_outcome::kAnswered, "");
+      return Answer(std::move(result.response), request_outcome::kAnswered, "",
+                    std::move(result.memory));
     case attempt_outcome::kServerError:
       failure_ = std::move(result.response);
+      failure_memory_ = std::move(result.memory);
       break;
     default:
       break;
@@ -190,7 +192,8 @@
 
 void request_run::Conclude(time_span retry_after, std::string_view reason) {
   if (failure_) {
-    return Answer(std::move(*failure_), request_outcome::kServerError, reason);
+    return Answer(std::move(*failure_), request_outcome::kServerError, reason,
+                  std::move(failure_memory_));
   }
   if (may_have_run_) {
     return Answer(MakeLocalResponse(http::status::bad_gateway,
@@ -220,7 +223,8 @@
 
 void request_run::Answer(http_response response,
                          request_outcome end,
-                         std::string_view reason) {
+                         std::string_view reason,
+                         std::shared_ptr<const answer_share> memory) {
   if (is_ended_)
     return;
   RemoveHopByHopHeaders(response);
@@ -232,7 +236,8 @@
   const unsigned status = response.result_int();
   if (!is_caller_disconnected_) {
     request_.session->Respond(request_.number, std::move(response),
-                              request_.message.method() == http::verb::head);
+                              request_.message.method() == http::verb::head,
+                              std::move(memory));
   }
   Log(log_level::kInfo, "request_ended",
       {{"request", plan_.caller_id},
--- a/modules/entry_gateway/request_run.h
+++ b/modules/entry_gateway/request_run.h
@@ -76,9 +76,11 @@
   // Ends the request without another attempt. The response depends on the
   // outcomes of the attempts that were made.
   void Conclude(time_span retry_after, std::string_view reason);
+  // `memory` is what the response of an endpoint holds.
   void Answer(http_response response,
               request_outcome end,
-              std::string_view reason);
+              std::string_view reason,
+              std::shared_ptr<const answer_share> memory = nullptr);
   void Stop(request_outcome end, std::string_view reason);
   void CancelAttempts();
   std::string MakeHeader(const slot_grant& grant) const;
@@ -97,6 +99,7 @@
   bool is_caller_disconnected_ = false;
   bool is_ended_ = false;
   std::optional<http_response> failure_;  // An endpoint's 5xx response.
+  std::shared_ptr<const answer_share> failure_memory_;
 };
 
 }  // namespace papayakeel
--- /dev/null
+++ b/tests/modules/endpoint_link/endless_answer_test.cc
@@ -0,0 +1,128 @@
+// Tests of endpoints whose answers never end, over loopback connections.
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "drivers/event_loop.h"
+#include "modules/endpoint_link/endpoint_link.h"
+#include "platform/platform_contracts.h"
+#include "tests/modules/support/endless_answers.h"
+#include "tests/modules/support/scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace papayakeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A small VM: all answers may take 1 MiB, one of them half of that.
+constexpr std::size_t kMemoryLimit = 8 << 20;
+constexpr std::size_t kSingleLimit = 512 << 10;
+
+// What the kernels may hold of the written bytes: the send buffer, and the
+// receive buffer, which grows on the loopback.
+constexpr std::uint64_t kKernelBytes = 8 << 20;
+
+}  // namespace
+
+TEST_GROUP(endless_answer) {
+  service_registry registry;
+  event_loop* loop = nullptr;
+  endpoint_link* link = nullptr;
+  std::unique_ptr<scripted_server> server;
+
+  void setup() override {
+    registry.Register(std::make_unique<event_loop>());
+    registry.Register(std::make_unique<endpoint_link>(
+        registry, platform::MakeCallerContract(), kMemoryLimit));
+    registry.StartAll();
+    loop = registry.Find<event_loop>(event_loop::kName);
+    link = registry.Find<endpoint_link>(endpoint_link::kName);
+  }
+
+  void teardown() override {
+    registry.StopAll();
+    server.reset();
+  }
+
+  void Serve(const server_script& script) {
+    server = std::make_unique<scripted_server>(
+        loop->context(), [script](std::size_t, std::size_t,
+                                  const std::string&) { return script; });
+  }
+
+  endpoint_result Exchange(const std::string& id, time_span timeout) {
+    endpoint_exchange exchange;
+    exchange.endpoint_id = "i-1";
+    exchange.address = server->address();
+    exchange.header = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    exchange.request_id = id;
+    exchange.deadline = event_loop::Now() + timeout;
+    std::optional<endpoint_result> result;
+    link->Begin(std::move(exchange), [&result](endpoint_result ended) {
+      result = std::move(ended);
+    });
+    while (!result)
+      loop->context().run_for(milliseconds(1));
+    return std::move(*result);
+  }
+
+  void RunUntilClosed() {
+    for (int step = 0; step < 2000 && !server->AllAreClosed(); ++step)
+      loop->context().run_for(milliseconds(1));
+    CHECK(server->AllAreClosed());
+  }
+};
+
+// Guards against an attempt or a status check that reads an endless answer
+// until its deadline, and against the process that ends for want of memory.
+TEST(endless_answer, EndsTheAttemptWithinBoundedBytes) {
+  for (const endless_answer& each : MakeEndlessAnswers()) {
+    for (const char* const id : {"r1", ""}) {
+      Serve({each.start, each.endless, {}});
+      const endpoint_result result = Exchange(id, seconds(20));
+      STRCMP_EQUAL_TEXT("broken", ToString(result.outcome), each.name);
+      CHECK_FALSE_TEXT(result.has_timed_out, each.name);
+      RunUntilClosed();
+      CHECK_TEXT(server->bytes_written() < kSingleLimit + kKernelBytes,
+                 each.name);
+      LONGS_EQUAL_TEXT(0, link->memory().held(), each.name);
+    }
+  }
+}
+
+// Guards against an endless answer in single bytes that holds more than them.
+TEST(endless_answer, SingleBytesEndWithTheDeadline) {
+  Serve({kEndlessAnswerStart, "x", milliseconds(1)});
+  const endpoint_result result = Exchange("r1", milliseconds(300));
+  STRCMP_EQUAL("broken", ToString(result.outcome));
+  CHECK(result.has_timed_out);
+  RunUntilClosed();
+  LONGS_EQUAL(0, link->memory().held());
+}
+
+// Guards against answers that together take more memory than the VM has, and
+// against memory that is not given back.
+TEST(endless_answer, AnswersShareTheMemory) {
+  const std::string body(400 << 10, 'b');
+  Serve({std::string(kEndlessAnswerStart) + "Content-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body,
+         "",
+         {}});
+  endpoint_result first = Exchange("r1", seconds(5));
+  endpoint_result second = Exchange("r1", seconds(5));
+  STRCMP_EQUAL("answered", ToString(first.outcome));
+  STRCMP_EQUAL("answered", ToString(second.outcome));
+  LONGS_EQUAL(body.size(), second.response.body().size());
+  STRCMP_EQUAL("broken", ToString(Exchange("r1", seconds(5)).outcome));
+  first.memory.reset();
+  STRCMP_EQUAL("answered", ToString(Exchange("r1", seconds(5)).outcome));
+  second.memory.reset();
+  LONGS_EQUAL(0, link->memory().held());
+}
+
+}  // namespace papayakeel
--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -55,7 +55,7 @@
   void setup() override {
     registry.Register(std::make_unique<event_loop>());
     registry.Register(std::make_unique<endpoint_link>(
-        registry, platform::MakeCallerContract()));
+        registry, platform::MakeCallerContract(), 256 << 20));
     registry.StartAll();
     loop = registry.Find<event_loop>(event_loop::kName);
     link = registry.Find<endpoint_link>(endpoint_link::kName);
