Bound what a backend server's answer makes the entry VM read

A backend server that writes a chunk extension or a trailer without end, or a Content-Length that no memory holds, ended the entry VM's process; chunk headers of 8 KiB each were read far beyond the limit of the answer. An interim answer was returned as the final one and counted as unknown.

The connection now reads through answer_reader, as fetches and endpoints do, and skips up to 16 interim answers.

server_link.EndlessAnswerEndsWithinBoundedBytes on the old code, under `ulimit -v 3000000` and one case at a time: "terminate called after throwing an instance of 'std::bad_alloc'" for a huge length, a chunk extension and a trailer; "CHECK(server->bytes_written() < 3 * kAnswerLimit + kKernelBytes) failed" for extensions of chunks. InterimAnswersPrecedeTheFinalOne: "CHECK(result.result == attempt_result::kAnswered) failed".

--- a/modules/server_link/server_connection.cc
+++ b/modules/server_link/server_connection.cc
@@ -20,6 +20,12 @@
 // Connecting usually takes 1 ms.
 constexpr time_span kConnectTimeout = std::chrono::milliseconds(500);
 
+// Interim responses that are read before the final one. A server that writes
+// more of them may never end.
+constexpr int kMaxInterimAnswers = 16;
+
+constexpr unsigned kFirstFinalStatus = 200;
+
 // Response header with which a server announces that it accepts no further
 // requests.
 constexpr char kDrainingHeader[] = "Papayakeel-Draining";
@@ -39,6 +45,8 @@
   has_sent_ = false;
   is_leaving_ = false;
   is_clean_ = false;
+  interim_answers_ = 0;
+  reader_.Drop();
   deadline_timer_.expires_at(exchange_.deadline);
   deadline_timer_.async_wait(
       [weak = weak_from_this()](const boost::system::error_code& error) {
@@ -75,15 +83,14 @@
   if (exchange_.first_byte_timeout == time_span::zero())
     return;
   silence_timer_.expires_after(exchange_.first_byte_timeout);
-  silence_timer_.async_wait([weak = weak_from_this()](
-                                const boost::system::error_code& error) {
-    const std::shared_ptr<server_connection> self = weak.lock();
-    if (error || !self || !self->done_)
-      return;
-    const bool has_received_bytes = self->parser_ && self->parser_->got_some();
-    if (!has_received_bytes)
-      self->Finish(attempt_result::kStaleConnection);
-  });
+  silence_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const std::shared_ptr<server_connection> self = weak.lock();
+        if (error || !self || !self->done_)
+          return;
+        if (self->interim_answers_ == 0 && !self->reader_.has_bytes())
+          self->Finish(attempt_result::kStaleConnection);
+      });
 }
 
 void server_connection::Abandon() {
@@ -94,7 +101,7 @@
 }
 
 bool server_connection::IsReusable() const {
-  if (!is_open_ || !is_clean_ || buffer_.size() > 0)
+  if (!is_open_ || !is_clean_ || reader_.has_surplus())
     return false;
   // Unsolicited bytes and an end of stream both rule out reuse.
   return HasNothingToRead(
@@ -122,44 +129,51 @@
   outgoing_.set("Papayakeel-Deadline-Ms", std::to_string(left));
   outgoing_.set("Papayakeel-Request-Id", std::to_string(exchange_.id));
   has_sent_ = true;
-  parser_.emplace();
-  parser_->header_limit(64 * 1024);
-  parser_->body_limit(exchange_.max_answer_bytes);
-  if (outgoing_.method() == http::verb::head)
-    parser_->skip(true);
   http::async_write(stream_, outgoing_,
                     [self = shared_from_this()](
-                        const boost::system::error_code& error, std::size_t) {
+                        const boost::system::error_code&, std::size_t) {
                       // A server may respond early and close the connection,
-                      // therefore a response may be readable even after a
-                      // write error.
-                      if (self->done_ && error)
-                        self->Read();
+                      // therefore the read goes on even after a write error.
                     });
   Read();
 }
 
 void server_connection::Read() {
-  if (!parser_ || is_reading_)
-    return;
-  is_reading_ = true;
-  http::async_read(stream_, buffer_, *parser_,
-                   [self = shared_from_this()](
-                       const boost::system::error_code& error, std::size_t) {
-                     self->is_reading_ = false;
-                     if (!self->done_)
-                       return;
-                     if (error)
-                       return self->Finish(self->FailureResult());
-                     self->OnResponse();
-                   });
+  answer_limits limits;
+  limits.body_bytes = exchange_.max_answer_bytes;
+  limits.is_head = outgoing_.method() == http::verb::head;
+  reader_.Start(limits);
+  OnState(reader_.Parse());
+}
+
+void server_connection::ReadSome() {
+  stream_.async_read_some(
+      reader_.Prepare(),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t size) {
+        if (self->done_)
+          self->OnState(self->reader_.Receive(error, size));
+      });
+}
+
+void server_connection::OnState(answer_state state) {
+  if (state == answer_state::kIncomplete)
+    return ReadSome();
+  if (state == answer_state::kBroken)
+    return Finish(FailureResult());
+  if (reader_.answer().result_int() >= kFirstFinalStatus)
+    return OnResponse();
+  ++interim_answers_;
+  if (interim_answers_ > kMaxInterimAnswers)
+    return Finish(attempt_result::kUnknown);
+  Read();
 }
 
 void server_connection::OnResponse() {
-  const http_response& answer = parser_->get();
+  const http_response& answer = reader_.answer();
   // A response that is delimited only by the end of the connection cannot be
   // distinguished from a truncated one.
-  if (parser_->need_eof() && !answer.has_content_length())
+  if (reader_.ends_with_connection() && !answer.has_content_length())
     return Finish(attempt_result::kUnknown);
   if (!exchange_.answer_id_header.empty()) {
     const bool has_matching_id =
@@ -179,12 +193,14 @@
   ended.result = result;
   ended.is_leaving = is_leaving_;
   if (result == attempt_result::kAnswered) {
-    ended.response = parser_->release();
+    ended.response = reader_.Release();
     has_carried_exchange_ = true;
     last_used_at_ = event_loop::Now();
   }
   if (!is_clean_)
     Close();
+  else
+    reader_.Shrink();
   const exchange_callback done = std::move(done_);
   done_ = nullptr;
   done(std::move(ended));
@@ -193,7 +209,7 @@
 attempt_result server_connection::FailureResult() const {
   if (!has_sent_)
     return attempt_result::kNotRun;
-  const bool has_received_bytes = parser_ && parser_->got_some();
+  const bool has_received_bytes = interim_answers_ > 0 || reader_.has_bytes();
   if (has_carried_exchange_ && !has_received_bytes)
     return attempt_result::kStaleConnection;
   return attempt_result::kUnknown;
--- a/modules/server_link/server_connection.h
+++ b/modules/server_link/server_connection.h
@@ -10,9 +10,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "modules/http/answer_reader.h"
 #include "modules/http/http_types.h"
 #include "modules/server_link/exchange.h"
 
@@ -46,6 +46,8 @@
   void Write();
   void StartSilenceTimer();
   void Read();
+  void ReadSome();
+  void OnState(answer_state state);
   void OnResponse();
   void Finish(attempt_result result);
   attempt_result FailureResult() const;
@@ -54,15 +56,14 @@
   boost::beast::tcp_stream stream_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer silence_timer_;
-  boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  answer_reader reader_;
+  int interim_answers_ = 0;  // In the current exchange.
   http_request outgoing_;
   exchange_request exchange_;
   exchange_callback done_;  // Set while an exchange runs.
   bool is_open_ = false;
   bool is_clean_ = false;  // Open; last response complete, keep-alive allowed.
   bool has_sent_ = false;  // Bytes of the current request may have been sent.
-  bool is_reading_ = false;
   bool has_carried_exchange_ = false;
   bool is_leaving_ = false;
   monotonic_time opened_at_;
--- /dev/null
+++ b/tests/modules/server_link/server_link_test.cc
@@ -0,0 +1,93 @@
+// Tests of exchanges with faulty servers, over loopback connections.
+#include "modules/server_link/server_link.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "drivers/event_loop.h"
+#include "tests/modules/support/endless_answers.h"
+#include "tests/modules/support/scripted_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace papayakeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kAnswerLimit = 512 << 10;
+// What the kernels may hold of the written bytes.
+constexpr std::uint64_t kKernelBytes = 8 << 20;
+
+}  // namespace
+
+TEST_GROUP(server_link) {
+  boost::asio::io_context context;
+  std::unique_ptr<server_link> link;
+  std::unique_ptr<scripted_server> server;
+
+  void setup() override {
+    link = std::make_unique<server_link>(context, server_link_settings());
+  }
+
+  void teardown() override {
+    link.reset();
+    server.reset();
+  }
+
+  exchange_result Exchange(const server_script& script) {
+    server = std::make_unique<scripted_server>(
+        context, [script](std::size_t, std::size_t, const std::string&) {
+          return script;
+        });
+    link->SetConnectionShare(server->address(), 1);
+    exchange_request exchange;
+    exchange.id = 7;
+    exchange.endpoint = server->address();
+    exchange.request = std::make_shared<const http_request>(
+        http_request(http::verb::get, "/", 11));
+    exchange.deadline = event_loop::Now() + seconds(20);
+    exchange.max_answer_bytes = kAnswerLimit;
+    exchange.answer_id_header = "Papayakeel-Request-Id";
+    std::optional<exchange_result> result;
+    link->StartExchange(std::move(exchange), [&result](exchange_result ended) {
+      result = std::move(ended);
+    });
+    while (!result)
+      context.run_for(milliseconds(1));
+    return std::move(*result);
+  }
+};
+
+// Guards against an attempt that reads an endless answer until its deadline, or
+// that counts as not run, and against the process that ends for want of memory.
+TEST(server_link, EndlessAnswerEndsWithinBoundedBytes) {
+  for (const endless_answer& each : MakeEndlessAnswers()) {
+    const exchange_result result = Exchange({each.start, each.endless, {}});
+    CHECK_TEXT(result.result == attempt_result::kUnknown, each.name);
+    for (int step = 0; step < 2000 && !server->AllAreClosed(); ++step)
+      context.run_for(milliseconds(1));
+    CHECK_TEXT(server->AllAreClosed(), each.name);
+    CHECK_TEXT(server->bytes_written() < 3 * kAnswerLimit + kKernelBytes,
+               each.name);
+  }
+}
+
+// Guards against an interim answer that is returned as the final one.
+TEST(server_link, InterimAnswersPrecedeTheFinalOne) {
+  const exchange_result result =
+      Exchange({"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                "Papayakeel-Request-Id: 7\r\nContent-Length: 2\r\n\r\nok",
+                "",
+                {}});
+  CHECK(result.result == attempt_result::kAnswered);
+  LONGS_EQUAL(200, result.response.result_int());
+}
+
+}  // namespace papayakeel
