Log and count every request that is refused without being scheduled

Operators saw proper requests answered with a 4xx and could not tell from the logs whether an outdated desired state, its limits or the request itself was the cause: a refusal by the caller's session (400, 408, 413, 431, 503 for lack of memory) left no line, and the line of a 404 named neither the route nor the state that had decided.

request_refused now bears the request id where it was read, the status, the reason, a detail (host and path, limit, parser error), the version of the desired state whose routes or limits decided, the time since that state was last confirmed, and whether the store or a relay confirmed it. papayakeel_requests_refused_total counts refusals by reason, and papayakeel_requests_total{outcome="refused_at_once"} includes those of the session. Answers to callers are unchanged.

--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -90,11 +90,12 @@
         buffer_.consume(1);
         continue;
       }
-      const caller_limits limits = host_->limits();
+      limits_ = host_->limits();
+      limits_version_ = host_->state_version();
       parser_.emplace();
       parser_->eager(true);
-      parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-      parser_->body_limit(limits.body_bytes);
+      parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+      parser_->body_limit(limits_.body_bytes);
       has_checked_header_ = false;
     }
     boost::system::error_code error;
@@ -129,7 +130,13 @@
   const bool has_path =
       !request.target().empty() && request.target().front() == '/';
   if (!is_plain_coding || !has_host || !has_path) {
-    Refuse(http::status::bad_request, "malformed request");
+    std::string detail = "path";
+    if (!is_plain_coding)
+      detail = "transfer_encoding";
+    else if (!has_host)
+      detail = "host";
+    Refuse(http::status::bad_request, "malformed", "malformed request",
+           std::move(detail));
     return false;
   }
   const bool expects_continue =
@@ -152,7 +159,8 @@
     reserved_bytes_ = needed;
     return true;
   }
-  Refuse(http::status::service_unavailable, "no memory for the body");
+  Refuse(http::status::service_unavailable, "body_memory",
+         "no memory for the body", std::to_string(needed) + " bytes");
   return false;
 }
 
@@ -177,22 +185,37 @@
 
 void caller_session::OnParseError(const boost::system::error_code& error) {
   if (error == http::error::header_limit) {
-    return Refuse(http::status::request_header_fields_too_large,
-                  "header exceeds the limit");
+    return Refuse(http::status::request_header_fields_too_large, "header_limit",
+                  "header exceeds the limit",
+                  "limit " + std::to_string(limits_.header_bytes) + " bytes");
   }
-  if (error == http::error::body_limit)
-    return Refuse(http::status::payload_too_large, "body exceeds the limit");
-  Refuse(http::status::bad_request, "malformed request");
+  if (error == http::error::body_limit) {
+    return Refuse(http::status::payload_too_large, "body_limit",
+                  "body exceeds the limit",
+                  "limit " + std::to_string(limits_.body_bytes) + " bytes");
+  }
+  Refuse(http::status::bad_request, "malformed", "malformed request",
+         error.message());
 }
 
-void caller_session::Refuse(http::status status, std::string_view reason) {
+void caller_session::Refuse(http::status status,
+                            std::string_view reason,
+                            std::string_view text,
+                            std::string detail) {
+  refused_request refused;
+  refused.message = &parser_->get();
+  refused.status = status;
+  refused.reason = reason;
+  refused.detail = std::move(detail);
+  refused.state_version = limits_version_;
+  host_->refused(refused);
   pending_answer refusal;
   refusal.number = next_number_++;
   refusal.is_ready = true;
   refusal.wants_close = true;
   refusal.response.result(status);
   refusal.response.set(http::field::content_type, "text/plain");
-  refusal.response.body() = std::string(reason) + "\n";
+  refusal.response.body() = std::string(text) + "\n";
   if (status == http::status::service_unavailable)
     refusal.response.set(http::field::retry_after, kBodyMemoryRetryAfter);
   pending_.push_back(std::move(refusal));
@@ -250,7 +273,9 @@
   if (host_ == nullptr || timer_.expiry() > event_loop::Now())
     return;
   if (parser_ && !is_writing_) {
-    Refuse(http::status::request_timeout, "request sent too slowly");
+    Refuse(http::status::request_timeout, "slow_request",
+           "request sent too slowly",
+           parser_->is_header_done() ? "body" : "header");
     return;
   }
   if (is_writing_ || pending_.empty())
--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -63,8 +63,11 @@
   void OnRequest();
   void OnParseError(const boost::system::error_code& error);
   // Rejects a request that is not fully read and closes the connection after
-  // the response.
-  void Refuse(http::status status, std::string_view reason);
+  // the response, whose body is `text`. `reason` and `detail` go to the log.
+  void Refuse(http::status status,
+              std::string_view reason,
+              std::string_view text,
+              std::string detail);
   void SendContinue();
   void ArmTimer();
   void OnTimeout();
@@ -79,6 +82,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   bool has_checked_header_ = false;
+  caller_limits limits_;                // Of the request being read.
+  std::uint64_t limits_version_ = 0;    // Of the desired state of `limits_`.
   std::size_t reserved_bytes_ = 0;      // For the body being read.
   std::deque<pending_answer> pending_;  // In request order.
   std::uint64_t next_number_ = 1;
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -42,6 +42,9 @@
 // Upper limit for the remaining time that a caller states in a request header.
 constexpr std::int64_t kMaxCallerTimeoutMs = 600'000;
 
+// Maximum length of a host, a path or a header value in the log.
+constexpr std::size_t kMaxLoggedBytes = 120;
+
 const std::vector<double> kDurationBuckets = {0.02, 0.05, 0.1, 0.2, 0.4,
                                               0.8,  1.6,  3.2, 6.4};
 
@@ -80,6 +83,10 @@
     const std::shared_ptr<const route_table> routes = state_store_->routes();
     return routes ? routes->state().limits : caller_limits{};
   };
+  host_.state_version = [this] { return ActiveStateVersion(); };
+  host_.refused = [this](const refused_request& refused) {
+    RecordRefusal(refused);
+  };
   host_.handle = [this](caller_request request) { Handle(std::move(request)); };
   host_.closed = [this](caller_session& session) { sessions_.erase(&session); };
   const std::size_t body_limit =
@@ -225,6 +232,7 @@
 void entry_gateway::RespondImmediately(const caller_request& request,
                                        http::status status,
                                        std::string_view reason,
+                                       std::string detail,
                                        std::optional<time_span> retry_after) {
   const std::string id(
       ToStringView(request.message[contract_.headers.request_id]));
@@ -235,16 +243,46 @@
     response.set(http::field::retry_after,
                  std::to_string(ToMilliseconds(*retry_after) / 1000));
   }
-  Log(log_level::kInfo, "request_refused",
-      {{"request", id},
-       {"status", std::to_string(static_cast<unsigned>(status))},
-       {"reason", std::string(reason)}});
-  ++outcome_counts_["refused_at_once"];
+  refused_request refused;
+  refused.message = &request.message;
+  refused.status = status;
+  refused.reason = reason;
+  refused.detail = std::move(detail);
+  refused.state_version = ActiveStateVersion();
+  RecordRefusal(refused);
   host_.release(request.message.body().size());
   request.session->Respond(request.number, std::move(response),
                            request.message.method() == http::verb::head);
 }
 
+std::uint64_t entry_gateway::ActiveStateVersion() const {
+  const std::shared_ptr<const route_table> routes = state_store_->routes();
+  return routes ? routes->state().version : 0;
+}
+
+void entry_gateway::RecordRefusal(const refused_request& refused) {
+  std::string source = "none";
+  std::string age;
+  if (feed_->last_answer()) {
+    source = feed_->is_last_answer_from_store()
+                 ? "store"
+                 : feed_->last_answer_source().ToString();
+    age = std::to_string(
+        ToMilliseconds(event_loop::Now() - *feed_->last_answer()));
+  }
+  Log(log_level::kInfo, "request_refused",
+      {{"request", std::string(ToStringView(
+                       (*refused.message)[contract_.headers.request_id]))},
+       {"status", std::to_string(static_cast<unsigned>(refused.status))},
+       {"reason", std::string(refused.reason)},
+       {"detail", refused.detail},
+       {"state_version", std::to_string(refused.state_version)},
+       {"state_age_ms", age},
+       {"state_source", source}});
+  ++outcome_counts_["refused_at_once"];
+  ++refusal_counts_[std::string(refused.reason)];
+}
+
 std::optional<request_plan> entry_gateway::Plan(const caller_request& request,
                                                 const route& matched,
                                                 std::uint64_t version) {
@@ -276,20 +314,27 @@
   const std::shared_ptr<const route_table> routes = state_store_->routes();
   if (!routes) {
     return RespondImmediately(request, http::status::service_unavailable,
-                              "no_desired_state", kNotReadyRetryAfter);
+                              "no_desired_state", "", kNotReadyRetryAfter);
   }
-  const route* matched =
-      routes->Find(ToStringView(request.message[http::field::host]),
-                   ToStringView(request.message.target()));
+  const std::string_view host =
+      ToStringView(request.message[http::field::host]);
+  const std::string_view target = ToStringView(request.message.target());
+  const route* matched = routes->Find(host, target);
   if (matched == nullptr) {
+    const std::string_view path = target.substr(0, target.find('?'));
     return RespondImmediately(request, http::status::not_found, "no_route",
+                              std::string(host.substr(0, kMaxLoggedBytes)) +
+                                  std::string(path.substr(0, kMaxLoggedBytes)),
                               std::nullopt);
   }
   std::optional<request_plan> plan =
       Plan(request, *matched, routes->state().version);
   if (!plan) {
-    return RespondImmediately(request, http::status::bad_request,
-                              "bad_deadline", std::nullopt);
+    const std::string_view deadline =
+        ToStringView(request.message[contract_.headers.time_left]);
+    return RespondImmediately(
+        request, http::status::bad_request, "bad_deadline",
+        std::string(deadline.substr(0, kMaxLoggedBytes)), std::nullopt);
   }
   ++running_;
   std::make_shared<request_run>(services_, std::move(request), std::move(*plan))
@@ -350,6 +395,11 @@
     sink.Counter("papayakeel_requests_total", "Ended requests by outcome",
                  {{"outcome", outcome}}, static_cast<double>(count));
   }
+  for (const auto& [reason, count] : refusal_counts_) {
+    sink.Counter("papayakeel_requests_refused_total",
+                 "Requests rejected without being scheduled, by reason",
+                 {{"reason", reason}}, static_cast<double>(count));
+  }
   sink.Gauge("papayakeel_requests_running", "Requests without an answer", {},
              static_cast<double>(running_));
   sink.Gauge("papayakeel_caller_connections", "Open connections of callers", {},
--- a/modules/entry_gateway/entry_gateway.h
+++ b/modules/entry_gateway/entry_gateway.h
@@ -76,7 +76,11 @@
   void RespondImmediately(const caller_request& request,
                           http::status status,
                           std::string_view reason,
+                          std::string detail,
                           std::optional<time_span> retry_after);
+  // Logs and counts a request that is rejected without being scheduled.
+  void RecordRefusal(const refused_request& refused);
+  std::uint64_t ActiveStateVersion() const;
   http_response HandleAddressLookup(const http_request& request) const;
   std::vector<network_address> AddressesFor(
       const address_question& question) const;
@@ -102,6 +106,8 @@
   std::size_t running_ = 0;     // Requests in flight.
   std::size_t body_bytes_ = 0;  // Of requests in flight or being read.
   std::map<std::string, std::uint64_t> outcome_counts_;
+  // Requests rejected without being scheduled, by reason.
+  std::map<std::string, std::uint64_t> refusal_counts_;
   prometheus::Family<prometheus::Histogram>* durations_ = nullptr;
   bool is_draining_ = false;
   bool is_stopped_ = false;
--- a/modules/entry_gateway/session_host.h
+++ b/modules/entry_gateway/session_host.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 #include "modules/http/http_types.h"
 #include "servers/routing/desired_state.h"
@@ -21,8 +23,22 @@
   std::uint64_t number = 0;  // Sequence number in the session.
 };
 
+// A request that the session rejects itself, for logs and metrics.
+struct refused_request {
+  const http_request* message = nullptr;  // May be incomplete.
+  http::status status = http::status::bad_request;
+  std::string_view reason;
+  std::string detail;
+  // Version of the desired state whose limits applied to the request. 0 if no
+  // desired state was known.
+  std::uint64_t state_version = 0;
+};
+
 struct session_host {
   std::function<caller_limits()> limits;
+  // Returns the version of the active desired state, or 0 if there is none.
+  std::function<std::uint64_t()> state_version;
+  std::function<void(const refused_request&)> refused;
   std::function<void(caller_request)> handle;
   std::function<void(caller_session&)> closed;
   // Reserves memory for a request body. Returns false if the reservation would
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -251,6 +251,7 @@
   }
   failures_in_row_ = 0;
   last_answer_ = now;
+  last_answer_source_ = source_;
 }
 
 std::vector<network_address> state_feed::ChooseRelays() {
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -43,7 +43,15 @@
 
   // True once a full listing has been read.
   bool has_listing() const { return has_listing_; }
+  // Time of the last answer that confirmed or changed the state.
   std::optional<monotonic_time> last_answer() const { return last_answer_; }
+  // The store or the relay that gave the last answer.
+  const network_address& last_answer_source() const {
+    return last_answer_source_;
+  }
+  bool is_last_answer_from_store() const {
+    return last_answer_source_ == settings_.store;
+  }
   std::uint64_t calls_total() const { return calls_total_; }
   std::uint64_t failures_total() const { return failures_total_; }
 
@@ -118,6 +126,7 @@
   monotonic_time reappearance_deadline_;
   std::set<std::string> missing_ids_;  // Removed, may reappear.
   std::optional<monotonic_time> last_answer_;
+  network_address last_answer_source_;
   std::uint64_t calls_total_ = 0;
   std::uint64_t failures_total_ = 0;
   bool is_stopped_ = false;
--- /dev/null
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -0,0 +1,161 @@
+// Tests of requests as callers send them, over loopback connections.
+#include "modules/entry_gateway/caller_session.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+
+#include "drivers/event_loop.h"
+#include "modules/entry_gateway/http_message.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace papayakeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using tcp = boost::asio::ip::tcp;
+
+struct logged_refusal {
+  std::string request_id;
+  unsigned status = 0;
+  std::string reason;
+  std::string detail;
+  std::uint64_t state_version = 0;
+};
+
+// A host of one session. Each request gets an answer with the size of its body
+// when `answers_at_once` is true.
+class session_fixture {
+ public:
+  session_fixture() : caller_(context_) {
+    host_.limits = [this] { return limits; };
+    host_.state_version = [] { return 7; };
+    host_.reserve = [](std::size_t) { return true; };
+    host_.release = [](std::size_t) {};
+    host_.closed = [](caller_session&) {};
+    host_.refused = [this](const refused_request& refused) {
+      refusals.push_back({std::string((*refused.message)["Id"]),
+                          static_cast<unsigned>(refused.status),
+                          std::string(refused.reason), refused.detail,
+                          refused.state_version});
+    };
+    host_.handle = [this](caller_request request) {
+      requests.push_back(std::move(request));
+      if (answers_at_once)
+        Answer(requests.size() - 1);
+    };
+    tcp::acceptor acceptor(context_,
+                           {boost::asio::ip::address_v4::loopback(), 0});
+    caller_.connect(acceptor.local_endpoint());
+    caller_.set_option(tcp::no_delay(true));
+    session_ = std::make_shared<caller_session>(host_, acceptor.accept());
+    session_->Start();
+    caller_.non_blocking(true);
+  }
+  ~session_fixture() {
+    session_->Close();
+    requests.clear();
+    context_.run_for(milliseconds(1));
+  }
+  session_fixture(const session_fixture&) = delete;
+  session_fixture& operator=(const session_fixture&) = delete;
+
+  void Answer(std::size_t index) {
+    http_response response(http::status::ok, 11);
+    response.body() = std::to_string(requests[index].message.body().size());
+    session_->Respond(requests[index].number, std::move(response), false);
+  }
+
+  // Writes the bytes and lets the session read them.
+  void Send(const std::string& bytes) {
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+      boost::system::error_code error;
+      sent += caller_.write_some(
+          boost::asio::buffer(bytes.data() + sent, bytes.size() - sent), error);
+      if (error && error != boost::asio::error::would_block)
+        return;
+      Run();
+    }
+    Run();
+  }
+
+  // Runs the session until it has nothing to do, and collects what it sent.
+  void Run() {
+    context_.restart();
+    while (context_.poll() > 0) {
+      char buffer[16384];
+      boost::system::error_code error;
+      const std::size_t size =
+          caller_.read_some(boost::asio::buffer(buffer), error);
+      received.append(buffer, size);
+    }
+  }
+
+  bool RunUntil(const std::function<bool()>& is_done) {
+    const monotonic_time limit = event_loop::Now() + seconds(5);
+    while (!is_done() && event_loop::Now() < limit)
+      Run();
+    return is_done();
+  }
+
+  caller_limits limits;
+  bool answers_at_once = true;
+  std::vector<caller_request> requests;
+  std::vector<logged_refusal> refusals;
+  std::string received;
+
+ private:
+  boost::asio::io_context context_;
+  session_host host_;
+  tcp::socket caller_;
+  std::shared_ptr<caller_session> session_;
+};
+
+}  // namespace
+
+TEST_GROUP(caller_session){};
+
+// Guards against refused requests that leave no trace in the log.
+TEST(caller_session, ReportsEachRefusal) {
+  struct sample {
+    std::string bytes;
+    logged_refusal refusal;
+  };
+  const std::string start = "POST /a/ HTTP/1.1\r\nId: r-1\r\n";
+  const std::vector<sample> samples = {
+      {start + "\r\n", {"r-1", 400, "malformed", "host", 7}},
+      {start + "Host: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+       {"r-1", 400, "malformed", "transfer_encoding", 7}},
+      {"POST a HTTP/1.1\r\nId: r-1\r\nHost: a\r\n\r\n",
+       {"r-1", 400, "malformed", "path", 7}},
+      {start + "Host: a\r\nContent-Length: 101\r\n\r\n",
+       {"r-1", 413, "body_limit", "limit 100 bytes", 7}},
+      {start + "Host: a\r\nX: " + std::string(500, 'x') + "\r\n\r\n",
+       {"r-1", 431, "header_limit", "limit 400 bytes", 7}},
+  };
+  for (const sample& each : samples) {
+    session_fixture fixture;
+    fixture.limits.header_bytes = 400;
+    fixture.limits.body_bytes = 100;
+    fixture.Send(each.bytes);
+    CHECK(fixture.RunUntil([&] { return !fixture.refusals.empty(); }));
+    LONGS_EQUAL(1, fixture.refusals.size());
+    const logged_refusal& refusal = fixture.refusals.front();
+    STRCMP_EQUAL(each.refusal.request_id.c_str(), refusal.request_id.c_str());
+    LONGS_EQUAL(each.refusal.status, refusal.status);
+    STRCMP_EQUAL(each.refusal.reason.c_str(), refusal.reason.c_str());
+    STRCMP_EQUAL(each.refusal.detail.c_str(), refusal.detail.c_str());
+    LONGS_EQUAL(each.refusal.state_version, refusal.state_version);
+    LONGS_EQUAL(0, fixture.requests.size());
+  }
+}
+
+}  // namespace papayakeel
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -170,7 +170,12 @@
     others.push_back(other);
   }
   process.Find<entry_directory>()->SetMembers(others);
-  RunUntil(context, [&relay_calls] { return relay_calls > 0; });
+  const state_feed* feed = process.Find<state_feed>();
+  CHECK(feed->is_last_answer_from_store());
+  RunUntil(context, [&relay_calls] { return relay_calls > 1; });
+  CHECK_FALSE(feed->is_last_answer_from_store());
+  STRCMP_EQUAL(reader.address().ToString().c_str(),
+               feed->last_answer_source().ToString().c_str());
   process.Stop();
   CHECK(relay_calls > 0);
   LONGS_EQUAL(1, targets.size());
--- a/tests/platform/process/platform_path_test.cc
+++ b/tests/platform/process/platform_path_test.cc
@@ -301,4 +301,59 @@
         std::string::npos);
 }
 
+// Guards against a refused request whose cause cannot be told from the log and
+// the metrics: an outdated desired state, its limits, or the request itself.
+TEST(platform_path, LogsTellWhyARequestIsRefused) {
+  Start(1, 1, milliseconds(5));
+  const auto send = [&](const std::string& request_line,
+                        const std::string& headers) {
+    SendRaw(site.CallersOf(0),
+            request_line + " HTTP/1.1\r\n" + headers + "\r\n", seconds(2));
+  };
+  LONGS_EQUAL(
+      404, Call(0, http::verb::get, "/none/1?x=1", "refused-1")->result_int());
+  send("GET /look/1",
+       "Papayakeel-Request-Id: refused-2\r\nHost: a\r\nHost: b\r\n");
+  send("GET /look/1",
+       "Papayakeel-Request-Id: refused-3\r\nHost: a.example\r\n" +
+           std::string(17000, 'x') + ": y\r\n");
+  send("PUT /look/1",
+       "Papayakeel-Request-Id: refused-4\r\nHost: a.example\r\n"
+       "Content-Length: 9000000\r\n");
+  send("GET /look/1",
+       "Papayakeel-Request-Id: refused-5\r\nHost: a.example\r\n"
+       "Papayakeel-Deadline-Ms: soon\r\n");
+  const std::vector<std::string> expected = {
+      "request=refused-1 status=404 reason=no_route detail=a.example/none/1 ",
+      "request=refused-2 status=400 reason=malformed detail=host ",
+      "request=refused-3 status=431 reason=header_limit "
+      "detail=\"limit 16384 bytes\" ",
+      "request=refused-4 status=413 reason=body_limit "
+      "detail=\"limit 1048576 bytes\" ",
+      "request=refused-5 status=400 reason=bad_deadline detail=soon "};
+  for (const std::string& each : expected) {
+    std::string line;
+    WaitUntil([&] {
+      const std::string log = site.LogOf(0);
+      const std::size_t found = log.find("event=request_refused " + each);
+      if (found == std::string::npos)
+        return false;
+      line = log.substr(found, log.find('\n', found) - found);
+      return true;
+    });
+    CHECK_TRUE_TEXT(!line.empty(), each.c_str());
+    CHECK_TRUE_TEXT(
+        line.find(" state_version=3 state_age_ms=") != std::string::npos,
+        line.c_str());
+    CHECK_TRUE_TEXT(line.find(" state_source=store") != std::string::npos,
+                    line.c_str());
+  }
+  const std::string metrics = site.MetricsOf(0);
+  for (const char* reason : {"no_route", "header_limit", "body_limit"}) {
+    const std::string sample = "papayakeel_requests_refused_total{reason=\"" +
+                               std::string(reason) + "\"} 1";
+    CHECK_TRUE_TEXT(metrics.find(sample) != std::string::npos, sample.c_str());
+  }
+}
+
 }  // namespace papayakeel::platform
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -406,6 +406,13 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
+std::string platform_stand_in::MetricsOf(std::size_t index) const {
+  const std::optional<http_response> answer =
+      Send({vms_.at(index).host, kFirstFreePort + 1}, http::verb::get,
+           "/metrics", {}, "", std::chrono::seconds(1));
+  return answer ? answer->body() : "";
+}
+
 bool platform_stand_in::IsReady(std::size_t index) const {
   const std::optional<http_response> answer =
       Send({vms_.at(index).host, kReadinessPort}, http::verb::get, "/-/ready",
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -84,6 +84,8 @@
   child_process& entry_vm(std::size_t index) { return *vms_.at(index).process; }
   network_address CallersOf(std::size_t index) const;
   std::string LogOf(std::size_t index) const;
+  // The VM's metrics as text, or nothing when it does not answer.
+  std::string MetricsOf(std::size_t index) const;
   bool IsReady(std::size_t index) const;
   // The addresses that this VM names to callers.
   std::vector<std::string> AddressesFrom(std::size_t index) const;
