Give up watches that a silent store never answers

Callers of a VM in touch with the store got 404 for routes that had been added up to 22 s before, and answers from services that a route had left.

Cause: a store that falls silent takes calls and never answers them. TCP keep-alive finds the connection alive, so only the call's own time limit ends it, and that was 27 s for a watch by a VM that knew fewer than 30 members: every VM of a small fleet, and in a large one a VM that had just started or was cut off. A listing could take 2 s, with up to 1.05 s of backoff after it: 3.05 s, where 3 s are allowed.

The class of fault is a wait for a peer that has no bound of its own. Every call to the store now ends within 2.2 s (a watch) or 1.2 s (a page of a listing) and is repeated, whatever the size of the fleet and the duty of the VM; the special cases for VMs that pass over their relays and for the first watch after a failure are gone.

The test failed before: "LONGS_EQUAL(1, endpoints->size()) failed, expected <1>, but was <0>" after 5 s.

Watches at relays were bounded already.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -16,14 +16,16 @@
 
 namespace {
 
-// A long wait, because each call to the store has a price. TCP keep-alive
-// detects a broken connection before the wait ends.
-constexpr time_span kWatchWait = std::chrono::seconds(25);
-// Wait of the first watch after a failure, which precedes a second listing.
-constexpr time_span kWatchWaitAfterFailure = std::chrono::milliseconds(1200);
+// A store that falls silent takes watches and never answers them, on
+// connections that TCP keep-alive finds alive. A process that can reach the
+// store again must have the newest state within 3 s, so every call ends and is
+// repeated within that time. Each call has a price, hence no shorter wait.
+constexpr time_span kWatchWait = std::chrono::milliseconds(1400);
 // Time allowed for an answer on top of the wait of a watch. The store answers
-// in 4 ms, or 60 times that when it is slow.
-constexpr time_span kAnswerTimeout = std::chrono::seconds(2);
+// in 4 ms, or 100 times that when it is slow.
+constexpr time_span kWatchAnswerTimeout = std::chrono::milliseconds(800);
+// Time allowed for a page of a listing, which takes 0.2 s on the slowest links.
+constexpr time_span kListTimeout = std::chrono::milliseconds(1200);
 
 // Changes arrive in bursts. The delay before the next watch lets one call read
 // all changes of a burst.
@@ -135,7 +137,7 @@
     listed_ids_.clear();
     listed_changes_.clear();
   }
-  Fetch(contract_.list_target(after_key), kAnswerTimeout, &state_feed::OnList);
+  Fetch(contract_.list_target(after_key), kListTimeout, &state_feed::OnList);
 }
 
 void state_feed::OnList(const fetch_result& answer) {
@@ -198,18 +200,11 @@
   if (!has_joined_)
     return Schedule(kJoinCheckInterval, [this] { Watch(); });
   const bool is_following = ChooseSource() != settings_.store;
-  // When all relays have failed, this process watches the store only briefly:
-  // it returns to the relays soon, and a long watch on a store that stopped
-  // answering would last far beyond the end of the outage.
-  const bool is_skipping_relays =
-      !is_following && directory_->members().size() >= kMinRelayedFleetSize;
-  const bool is_short_watch = is_following || is_reader_ || is_skipping_relays;
-  time_span wait = needs_second_listing_ ? kWatchWaitAfterFailure : kWatchWait;
-  if (is_short_watch)
-    wait = kRelayedWatchWait;
+  const bool is_relayed = is_following || is_reader_;
+  const time_span wait = is_relayed ? kRelayedWatchWait : kWatchWait;
   relay_->SetFresh(is_reader_ && failures_in_row_ == 0);
   Fetch(contract_.watch_target(revision_, wait),
-        wait + (is_short_watch ? kRelayTimeout : kAnswerTimeout),
+        wait + (is_relayed ? kRelayTimeout : kWatchAnswerTimeout),
         &state_feed::OnWatch);
 }
 
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -27,18 +27,23 @@
 using std::chrono::seconds;
 
 // An HTTP server in place of the store or a relay. Its answers come from a
-// function that the test passes.
+// function that the test passes; a call for which it returns none stays open.
 class fake_store {
  public:
-  using answer_function = std::function<http_response(const std::string&)>;
+  using answer_function =
+      std::function<std::optional<http_response>(const std::string&)>;
 
   fake_store(boost::asio::io_context& context, answer_function answer) {
     http_listener_settings settings;
     settings.listen = {"127.0.0.1", 0};
     http_listener_hooks hooks;
-    hooks.handle = [answer = std::move(answer)](const http_exchange& exchange) {
-      exchange.respond(
-          answer(std::string(ToStringView(exchange.request.target()))));
+    hooks.handle = [this,
+                    answer = std::move(answer)](const http_exchange& exchange) {
+      std::optional<http_response> response =
+          answer(std::string(ToStringView(exchange.request.target())));
+      if (!response)
+        return unanswered_.push_back(exchange);
+      exchange.respond(std::move(*response));
     };
     listener_ = std::make_unique<http_listener>(context, settings, hooks);
     listener_->Start();
@@ -47,6 +52,7 @@
   network_address address() const { return listener_->local_address(); }
 
  private:
+  std::vector<http_exchange> unanswered_;
   std::unique_ptr<http_listener> listener_;
 };
 
@@ -218,6 +224,50 @@
     CHECK(wait < seconds(2));
 }
 
+// Guards against an outdated state after a silence of the store: calls that it
+// took while it was silent are never answered.
+TEST(state_feed, RecoversInTimeFromCallsThatAreNeverAnswered) {
+  for (const bool was_listing : {false, true}) {
+    bool is_silent = false;
+    bool has_taken_call = false;
+    int revision = 1;
+    feed_process process;
+    boost::asio::io_context& context = process.context();
+    fake_store store(
+        context,
+        [&](const std::string& target) -> std::optional<http_response> {
+          if (is_silent) {
+            has_taken_call = true;
+            // A refused watch is followed by a listing, which is not answered.
+            if (was_listing && !IsList(target))
+              return http_response(http::status::service_unavailable, 11);
+            return std::nullopt;
+          }
+          const std::string end =
+              "],\"as_of\":" + std::to_string(revision) + "}";
+          if (!IsList(target))
+            return MakeAnswer("{\"events\":[" + end);
+          return MakeAnswer(
+              "{\"items\":[" +
+              (revision > 1 ? platform::MakeEndpointItem(0) : "") + end);
+        });
+    process.Start(store.address());
+    const endpoint_registry* endpoints = process.Find<endpoint_registry>();
+    const state_feed* feed = process.Find<state_feed>();
+    RunUntil(context, [&] { return feed->has_listing(); });
+    is_silent = true;
+    RunUntil(context, [&] { return has_taken_call; });
+    CHECK(has_taken_call);
+    is_silent = false;
+    revision = 2;
+    const monotonic_time answering_since = event_loop::Now();
+    RunUntil(context, [&] { return endpoints->size() == 1; });
+    LONGS_EQUAL(1, endpoints->size());
+    CHECK(event_loop::Now() - answering_since < seconds(3));
+    process.Stop();
+  }
+}
+
 // Guards against two failures after the store was unreachable: a process that
 // was itself cut off for seconds keeps using an endpoint that left meanwhile
 // (one entry missing), and endpoints are removed although their entries only
