Refuse a caller's chunk header or trailer without end

A caller that sent a chunk extension or a trailer without end made the VM buffer all of it until the pause timeout, which each read defers: they are parsed only whole, and neither the header limit nor the body limit counts them. More than 64 KiB of one is now refused with 400 (`malformed`, detail `chunk framing too long`) and the connection is closed.

caller_session.EndlessChunkFramingIsRefused on the old code: "Message: 1; CHECK(fixture.RunUntil([&] { return !fixture.refusals.empty(); })) failed". HugeLengthIsRefused passed there: the request parser does report a length beyond the limit.

--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -20,6 +20,9 @@
 
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 
+// Of a chunk header or a trailer, which are parsed only whole.
+constexpr std::size_t kMaxFramingBytes = 64 * 1024;
+
 // Time limit for writing a response and for a pause within a request body.
 constexpr time_span kStallTimeout = std::chrono::seconds(10);
 
@@ -114,7 +117,13 @@
       OnRequest();
       continue;
     }
-    if (used == 0 || error == http::error::need_more)
+    const bool needs_more = used == 0 || error == http::error::need_more;
+    if (needs_more && parser_->is_header_done() &&
+        buffer_.size() > kMaxFramingBytes) {
+      return Refuse(http::status::bad_request, "malformed", "malformed request",
+                    "chunk framing too long");
+    }
+    if (needs_more)
       return;
   }
 }
--- a/tests/modules/entry_gateway/caller_session_test.cc
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -158,4 +158,34 @@
   }
 }
 
+// Guards against a length that no memory holds and that ends the process when
+// the first bytes of the body arrive with the header.
+TEST(caller_session, HugeLengthIsRefused) {
+  session_fixture fixture;
+  fixture.limits.body_bytes = 1 << 20;
+  fixture.Send(
+      "POST /a/ HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999999999\r\n"
+      "\r\nx");
+  CHECK(fixture.RunUntil([&] { return !fixture.refusals.empty(); }));
+  LONGS_EQUAL(413, fixture.refusals.front().status);
+  LONGS_EQUAL(0, fixture.requests.size());
+}
+
+// Guards against a chunk extension or a trailer that is buffered without end.
+TEST(caller_session, EndlessChunkFramingIsRefused) {
+  for (const char* const chunk : {"1;", "0\r\nX: "}) {
+    session_fixture fixture;
+    fixture.limits.body_bytes = 1 << 20;
+    fixture.Send(std::string("POST /a/ HTTP/1.1\r\nHost: a\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n") +
+                 chunk + std::string(1 << 20, 'e'));
+    CHECK_TEXT(fixture.RunUntil([&] { return !fixture.refusals.empty(); }),
+               chunk);
+    LONGS_EQUAL(400, fixture.refusals.front().status);
+    STRCMP_EQUAL("chunk framing too long",
+                 fixture.refusals.front().detail.c_str());
+    LONGS_EQUAL(0, fixture.requests.size());
+  }
+}
+
 }  // namespace papayakeel
