Let the tests' store come back from an older copy

The store of the platform stand-in is a class of its own now, which unit tests can use without processes. The platform stand-in can then write the newest desired state and the entries of endpoints again, in a drawn order that mixes them with the removals of endpoints that have left.

--- /dev/null
+++ b/tests/modules/state_feed/feed_process.cc
@@ -0,0 +1,41 @@
+// Registration of the services.
+#include "tests/modules/state_feed/feed_process.h"
+
+#include <memory>
+
+#include "drivers/event_loop.h"
+#include "modules/state_feed/state_feed.h"
+#include "modules/state_feed/state_relay.h"
+#include "platform/platform_contracts.h"
+#include "servers/discovery/endpoint_registry.h"
+#include "servers/membership/entry_directory.h"
+#include "servers/routing/desired_state_store.h"
+
+namespace papayakeel {
+
+feed_process::feed_process() {
+  registry_.Register(std::make_unique<event_loop>());
+  loop_ = registry_.Find<event_loop>(event_loop::kName);
+}
+
+boost::asio::io_context& feed_process::context() {
+  return loop_->context();
+}
+
+void feed_process::Start(const network_address& store,
+                         const network_address& relay,
+                         const member& self) {
+  entry_settings settings;
+  settings.store = store;
+  settings.relay_listen = relay;
+  registry_.Register(std::make_unique<entry_directory>(self));
+  registry_.Register(std::make_unique<desired_state_store>());
+  registry_.Register(std::make_unique<endpoint_registry>());
+  registry_.Register(std::make_unique<state_relay>(
+      registry_, settings, platform::MakeStoreContract()));
+  registry_.Register(std::make_unique<state_feed>(
+      registry_, settings, platform::MakeStoreContract(), [] { return 0; }));
+  registry_.StartAll();
+}
+
+}  // namespace papayakeel
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -13,6 +13,7 @@
 #include "servers/discovery/endpoint_registry.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/routing/desired_state_store.h"
+#include "tests/modules/state_feed/feed_process.h"
 #include "tests/platform/store_items.h"
 
 #include <CppUTest/TestHarness.h>
@@ -60,43 +61,6 @@
   return !platform::MakeStoreContract().parse_request(target)->is_watch;
 }
 
-// The services of an entry VM that are needed to read the store.
-class feed_process {
- public:
-  feed_process() {
-    registry_.Register(std::make_unique<event_loop>());
-    loop_ = registry_.Find<event_loop>(event_loop::kName);
-  }
-
-  boost::asio::io_context& context() { return loop_->context(); }
-
-  void Start(const network_address& store,
-             const network_address& relay = {"127.0.0.1", 0}) {
-    entry_settings settings;
-    settings.store = store;
-    settings.relay_listen = relay;
-    registry_.Register(std::make_unique<entry_directory>(member{}));
-    registry_.Register(std::make_unique<desired_state_store>());
-    registry_.Register(std::make_unique<endpoint_registry>());
-    registry_.Register(std::make_unique<state_relay>(
-        registry_, settings, platform::MakeStoreContract()));
-    registry_.Register(std::make_unique<state_feed>(
-        registry_, settings, platform::MakeStoreContract(), [] { return 0; }));
-    registry_.StartAll();
-  }
-
-  void Stop() { registry_.StopAll(); }
-
-  template <typename service_type>
-  service_type* Find() const {
-    return registry_.Find<service_type>(service_type::kName);
-  }
-
- private:
-  service_registry registry_;
-  event_loop* loop_ = nullptr;
-};
-
 }  // namespace
 
 TEST_GROUP(state_feed){
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -4,12 +4,13 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <future>
+#include <random>
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/detail/base64.hpp>
 
 #include "tests/process/support/test_client.h"
 
@@ -18,7 +19,6 @@
 namespace {
 
 using nlohmann::json;
-namespace base64 = boost::beast::detail::base64;
 
 // Ports are the same on all VMs, as on the platform; addresses differ.
 constexpr int kCallerPort = 18381;
@@ -30,21 +30,6 @@
 constexpr unsigned kHttp11 = 11;
 constexpr char kService[] = "booking";
 
-std::string Encode(const std::string& bytes) {
-  std::string text(base64::encoded_size(bytes.size()), '\0');
-  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-  return text;
-}
-
-// The value of a number in the query, or 0.
-std::uint64_t QueryNumber(const std::string& target, const std::string& name) {
-  const std::size_t found = target.find(name + "=");
-  return found == std::string::npos
-             ? 0
-             : std::strtoull(target.c_str() + found + name.size() + 1, nullptr,
-                             10);
-}
-
 http_response MakeAnswer(http::status status, const std::string& body) {
   http_response response(status, kHttp11);
   response.body() = body;
@@ -75,17 +60,14 @@
   directory_ = mkdtemp(pattern.data());
   thread_ = std::thread([this] { context_.run(); });
   Run([this] {
-    store_ = Listen(
-        [this](http_exchange exchange) { HandleStore(std::move(exchange)); });
-    published_store_address_ = store_->local_address();
+    store_ = std::make_unique<store_stand_in>(context_);
+    published_store_address_ = store_->address();
   });
 }
 
 platform_stand_in::~platform_stand_in() {
   vms_.clear();
   Run([this] {
-    watches_.clear();
-    silenced_.clear();
     working_.clear();
     endpoints_.clear();
     store_.reset();
@@ -116,99 +98,46 @@
   return listener;
 }
 
-void platform_stand_in::HandleStore(http_exchange exchange) {
-  if (fault_ == store_fault::kSilent) {
-    silenced_.push_back(std::move(exchange));
-    return;
-  }
-  if (fault_ == store_fault::kRefuses) {
-    exchange.respond(MakeAnswer(http::status::service_unavailable, "{}"));
-    return;
-  }
-  const std::string target(ToStringView(exchange.request.target()));
-  if (target.find("kv-range") != std::string::npos) {
-    json items = json::array();
-    for (const auto& [key, item] : items_) {
-      items.push_back({{"key", key},
-                       {"value", Encode(item.value)},
-                       {"revision", item.revision}});
-    }
-    const json body = {
-        {"items", items}, {"has_more", false}, {"as_of", revision_}};
-    exchange.respond(MakeAnswer(http::status::ok, body.dump()));
-    return;
-  }
-  watches_.emplace_back();
-  const std::list<waiting_watch>::iterator watch = std::prev(watches_.end());
-  watch->after = QueryNumber(target, "after");
-  watch->exchange = std::move(exchange);
-  if (watch->after < revision_) {
-    AnswerWatch(*watch);
-    watches_.erase(watch);
-    return;
-  }
-  watch->timer = std::make_unique<boost::asio::steady_timer>(
-      context_, std::chrono::milliseconds(QueryNumber(target, "wait_ms")));
-  watch->timer->async_wait(
-      [this, watch](const boost::system::error_code& error) {
-        if (error)
-          return;
-        AnswerWatch(*watch);
-        watches_.erase(watch);
-      });
-}
-
-json platform_stand_in::EventsAfter(std::uint64_t revision) const {
-  json events = json::array();
-  for (const json& event : events_) {
-    if (event.at("revision").get<std::uint64_t>() > revision)
-      events.push_back(event);
-  }
-  return events;
+void platform_stand_in::Put(const std::string& key, const std::string& value) {
+  Run([&] { store_->Put(key, value); });
 }
 
-void platform_stand_in::AnswerWatch(const waiting_watch& watch) {
-  const json body = {{"events", EventsAfter(watch.after)},
-                     {"as_of", revision_}};
-  watch.exchange.respond(MakeAnswer(http::status::ok, body.dump()));
+void platform_stand_in::Remove(const std::string& key) {
+  Run([&] { store_->Remove(key); });
 }
 
-void platform_stand_in::Write(const std::string& key,
-                              const std::string* value) {
-  ++revision_;
-  if (value != nullptr) {
-    items_[key] = {*value, revision_};
-    events_.push_back(
-        {{"key", key}, {"value", Encode(*value)}, {"revision", revision_}});
-  } else {
-    items_.erase(key);
-    events_.push_back(
-        {{"key", key}, {"revision", revision_}, {"removed", true}});
-  }
-  if (fault_ == store_fault::kNone) {
-    for (const waiting_watch& watch : watches_)
-      AnswerWatch(watch);
-    watches_.clear();
-  }
+void platform_stand_in::SetStoreFault(store_fault fault) {
+  Run([&] { store_->SetFault(fault); });
 }
 
-void platform_stand_in::Put(const std::string& key, const std::string& value) {
-  Run([&] { Write(key, &value); });
+store_copy platform_stand_in::CopyStore() {
+  store_copy copy;
+  Run([&] { copy = store_->Copy(); });
+  return copy;
 }
 
-void platform_stand_in::Remove(const std::string& key) {
-  Run([&] { Write(key, nullptr); });
+void platform_stand_in::RestoreStore(const store_copy& copy) {
+  Run([&] { store_->Restore(copy); });
 }
 
-void platform_stand_in::SetStoreFault(store_fault fault) {
-  Run([&] {
-    fault_ = fault;
-    // Watches that wait end like new calls.
-    std::list<waiting_watch> waiting = std::move(watches_);
-    watches_.clear();
-    for (waiting_watch& watch : waiting)
-      HandleStore(std::move(watch.exchange));
-  });
+void platform_stand_in::WriteAgain(std::uint64_t seed) {
+  std::vector<std::function<void()>> writes;
+  if (!newest_state_.empty())
+    writes.emplace_back([this] { Put("op/config", newest_state_); });
+  for (std::size_t index = 0; index < endpoints_.size(); ++index) {
+    const stand_in_endpoint& known = *endpoints_[index];
+    if (known.is_registered) {
+      writes.emplace_back([this, index, is_leaving = known.is_leaving] {
+        Register(index, is_leaving);
+      });
+    } else {
+      writes.emplace_back([this, index] { Unregister(index); });
+    }
+  }
+  std::mt19937_64 random(seed);
+  std::shuffle(writes.begin(), writes.end(), random);
+  for (const std::function<void()>& write : writes)
+    write();
 }
 
 void platform_stand_in::PutState(int version,
@@ -227,7 +156,8 @@
       {"clusters", json::array({{{"name", kService},
                                  {"health_path", "/health"},
                                  {"max_conns", 100}}})}};
-  Put("op/config", state.dump());
+  newest_state_ = state.dump();
+  Put("op/config", newest_state_);
 }
 
 std::size_t platform_stand_in::AddEndpoint(time_span work) {
@@ -248,6 +178,8 @@
 
 void platform_stand_in::Register(std::size_t endpoint, bool is_leaving) {
   stand_in_endpoint& known = *endpoints_.at(endpoint);
+  known.is_leaving = is_leaving;
+  known.is_registered = true;
   const json entry = {
       {"address", known.published_address.ToString()},
       {"born", 1000},
@@ -271,6 +203,7 @@
 }
 
 void platform_stand_in::Unregister(std::size_t endpoint) {
+  endpoints_.at(endpoint)->is_registered = false;
   Remove("servers/" + endpoints_.at(endpoint)->id);
 }
 
@@ -343,7 +276,7 @@
 }
 
 network_address platform_stand_in::StoreAddress() const {
-  return store_->local_address();
+  return store_->address();
 }
 
 void platform_stand_in::SetPublishedStoreAddress(
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -21,17 +21,11 @@
 #include "core/monotonic_time.h"
 #include "core/network_address.h"
 #include "modules/http/http_listener.h"
+#include "tests/platform/store_stand_in.h"
 #include "tests/process/support/child_process.h"
 
 namespace papayakeel::platform {
 
-// What the store does with calls.
-enum class store_fault {
-  kNone,
-  kRefuses,  // Answers 503.
-  kSilent,   // Never answers.
-};
-
 class platform_stand_in {
  public:
   platform_stand_in();
@@ -43,6 +37,13 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void SetStoreFault(store_fault fault);
+  store_copy CopyStore();
+  // Brings an older copy of the store back. What was written since is missing
+  // until WriteAgain().
+  void RestoreStore(const store_copy& copy);
+  // Writes the newest desired state and the entries of all endpoints again, and
+  // removes those of endpoints that have left, in an order drawn from `seed`.
+  void WriteAgain(std::uint64_t seed);
 
   // Puts a desired state in force whose routes each send a prefix of the host
   // "a.example" to the service "booking": the once-only prefix "/book/" and
@@ -89,20 +90,13 @@
   std::vector<std::string> AddressesFrom(std::size_t index) const;
 
  private:
-  struct store_item {
-    std::string value;
-    std::uint64_t revision = 0;
-  };
-  struct waiting_watch {
-    std::uint64_t after = 0;
-    http_exchange exchange;
-    std::unique_ptr<boost::asio::steady_timer> timer;
-  };
   struct stand_in_endpoint {
     std::string id;
     time_span work{0};
     bool is_rejecting = false;
     int registrations = 0;
+    bool is_leaving = false;
+    bool is_registered = true;
     int runs = 0;
     std::optional<monotonic_time> last_arrival;
     network_address published_address;
@@ -120,24 +114,15 @@
   std::unique_ptr<http_listener> Listen(
       std::function<void(http_exchange)> handle);
   void StartProcess(stand_in_vm& vm);
-  void HandleStore(http_exchange exchange);
   void HandleEndpoint(std::size_t index, const http_exchange& exchange);
-  void Write(const std::string& key, const std::string* value);
-  void AnswerWatch(const waiting_watch& watch);
-  nlohmann::json EventsAfter(std::uint64_t revision) const;
 
   std::string directory_;
   std::string host_prefix_;  // Of the loopback addresses of this test.
   mutable boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard_;
-  store_fault fault_ = store_fault::kNone;
-  std::uint64_t revision_ = 1;
-  std::map<std::string, store_item> items_;
-  std::vector<nlohmann::json> events_;
-  std::list<waiting_watch> watches_;
-  std::vector<http_exchange> silenced_;  // Calls that get no answer.
-  std::unique_ptr<http_listener> store_;
+  std::unique_ptr<store_stand_in> store_;
+  std::string newest_state_;  // As the operator wrote it.
   network_address published_store_address_;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
   std::map<std::string, int> arrivals_;  // By request id.
