List tests of a store that comes back from an older copy

Revisions that are given out again pass for those already read, by VMs that read the store and by followers of a relay; a listing mixes pages of two eras; a follower returns to an earlier era; an endpoint that left is used again because an older copy lists it; and endpoints that the copy does not have yet get no work until they have written again.

--- a/tests/modules/state_feed/restored_store_test.cc
+++ b/tests/modules/state_feed/restored_store_test.cc
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "drivers/event_loop.h"
+#include "modules/state_feed/state_feed.h"
+#include "modules/state_feed/state_relay.h"
 #include "servers/discovery/endpoint_registry.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/routing/desired_state_store.h"
@@ -32,6 +34,7 @@
 constexpr seconds kInForce{2};
 // Endpoints write again within this time after a restore.
 constexpr milliseconds kWrittenAgain{1900};
+constexpr int kFleetSize = 40;
 
 void PutEndpoint(store_stand_in& store, const endpoint_report& report) {
   store.Put(platform::MakeEndpointKey(report.index),
@@ -55,6 +58,10 @@
     store.Put("other/" + std::to_string(number), "x");
 }
 
+std::uint64_t RevisionOf(const feed_process& process) {
+  return process.Find<state_feed>()->DumpState()["revision"];
+}
+
 int VersionOf(const feed_process& process) {
   const std::shared_ptr<const route_table> routes =
       process.Find<desired_state_store>()->routes();
@@ -67,6 +74,10 @@
   return entry != nullptr && !entry->is_leaving;
 }
 
+bool IsRelayWatched(const feed_process& process) {
+  return process.Find<state_relay>()->DumpState()["waiting"] == 1;
+}
+
 // Runs the event loops until `is_done` returns true. Returns false when `limit`
 // passes first.
 bool RunUntil(const std::vector<feed_process*>& processes,
@@ -121,6 +132,48 @@
   }
 };
 
+// Two VMs of a large fleet: one reads the store and relays it to the other.
+struct relayed_pair {
+  feed_process reader;
+  feed_process follower;
+  store_stand_in store{reader.context()};
+
+  relayed_pair() { PutFirstContent(store); }
+  ~relayed_pair() {
+    follower.Stop();
+    reader.Stop();
+  }
+
+  // The reader is the only member with enough capacity for the duty. The
+  // follower makes its first listing from `first_store`.
+  void Start(const network_address& first_store) {
+    const member reader_self = MakeMember(kFleetSize, 1000);
+    std::vector<member> others;
+    others.reserve(kFleetSize + 1);
+    for (int number = 0; number < kFleetSize; ++number)
+      others.push_back(MakeMember(number, 100));
+    reader.Start(store.address(), {"127.0.0.1", 0}, reader_self);
+    state_relay* relay = reader.Find<state_relay>();
+    CHECK(relay->Listen());
+    reader.Find<entry_directory>()->SetMembers(others);
+    CHECK(Run(seconds(5), [this] { return store.waiting_watches() == 1; }));
+    follower.Start(first_store, relay->local_address());
+    others.push_back(reader_self);
+    CHECK(Run(seconds(5),
+              [this] { return follower.Find<state_feed>()->has_listing(); }));
+    follower.Find<entry_directory>()->SetMembers(others);
+  }
+  bool Run(time_span limit, const std::function<bool()>& is_done) {
+    return RunUntil({&reader, &follower}, limit, is_done);
+  }
+  // Waits until both have read everything and watch.
+  bool IsSettled() const {
+    return store.waiting_watches() == 1 && IsRelayWatched(reader) &&
+           RevisionOf(reader) == store.revision() &&
+           RevisionOf(follower) == store.revision();
+  }
+};
+
 }  // namespace
 
 TEST_GROUP(restored_store){};
@@ -222,4 +275,190 @@
   }
 }
 
+// Guards against changes that are hidden because their revisions pass for those
+// already read: a VM whose watch was just answered asks next when the restored
+// store has reached its revision again, or is past it.
+TEST(restored_store, VmReadsRevisionsThatAreGivenOutAgain) {
+  for (const int restores : {1, 2}) {
+    for (const int later_writes : {0, 4}) {
+      lone_vm vm;
+      const store_copy copy = vm.store.Copy();
+      CHECK(vm.StartAndWatch());
+      PutEndpoint(vm.store, {0, 2});
+      CHECK(vm.Run(seconds(2), [&vm] {
+        return RevisionOf(vm.process) == vm.store.revision();
+      }));
+      CHECK_FALSE(vm.IsWatching());
+      for (int number = 0; number < restores; ++number)
+        vm.store.Restore(copy);
+      PutState(vm.store, 9);
+      PutOthers(vm.store, later_writes);
+      vm.Run(kInForce, [&vm] { return VersionOf(vm.process) == 9; });
+      LONGS_EQUAL(9, VersionOf(vm.process));
+    }
+  }
+}
+
+// Guards against a listing with pages from before and after a restore, followed
+// by a watch from the revision of the earlier ones.
+TEST(restored_store, ListingIsOfOneEra) {
+  lone_vm vm;
+  const store_copy copy = vm.store.Copy();
+  PutOthers(vm.store, 5);
+  vm.store.SetPageSize(5);
+  int listings = 0;
+  vm.store.SetCallHook([&](const std::string& target) {
+    if (target.find("kv-range") == std::string::npos || ++listings != 2)
+      return;
+    vm.store.Restore(copy);
+    PutState(vm.store, 9);
+    PutOthers(vm.store, 9);
+  });
+  vm.Start();
+  CHECK(vm.Run(seconds(5), [&] { return listings >= 2 && vm.IsWatching(); }));
+  vm.Run(kInForce, [&vm] { return VersionOf(vm.process) == 9; });
+  LONGS_EQUAL(9, VersionOf(vm.process));
+}
+
+// Guards against a follower that takes its restored reader for being behind and
+// is told that nothing is new until the reader's revision has caught up.
+TEST(restored_store, FollowerReadsLowerRevisionsOfItsReader) {
+  for (const int later_writes : {0, 30}) {
+    relayed_pair pair;
+    const store_copy copy = pair.store.Copy();
+    PutOthers(pair.store, 20);
+    pair.Start(pair.store.address());
+    CHECK(pair.Run(seconds(5), [&pair] { return pair.IsSettled(); }));
+    pair.store.Restore(copy);
+    CHECK(pair.Run(seconds(1), [&pair] {
+      return RevisionOf(pair.reader) == pair.store.revision();
+    }));
+    PutState(pair.store, 9);
+    PutOthers(pair.store, later_writes);
+    CHECK(pair.Run(kInForce, [&] { return VersionOf(pair.reader) == 9; }));
+    pair.Run(kInForce, [&] { return VersionOf(pair.follower) == 9; });
+    LONGS_EQUAL(9, VersionOf(pair.follower));
+  }
+}
+
+// Guards against a follower that misses other content under the revision that
+// it knows.
+TEST(restored_store, FollowerReadsOtherContentOfTheSameRevision) {
+  relayed_pair pair;
+  const store_copy copy = pair.store.Copy();
+  PutOthers(pair.store, 1);
+  pair.Start(pair.store.address());
+  CHECK(pair.Run(seconds(5), [&pair] { return pair.IsSettled(); }));
+  const std::uint64_t revision = pair.store.revision();
+  pair.store.Restore(copy);
+  PutState(pair.store, 9);
+  LONGS_EQUAL(revision, pair.store.revision());
+  CHECK(pair.Run(kInForce, [&] { return VersionOf(pair.reader) == 9; }));
+  pair.Run(kInForce, [&] { return VersionOf(pair.follower) == 9; });
+  LONGS_EQUAL(9, VersionOf(pair.follower));
+}
+
+// Guards against a follower that returns to the content of before the restore,
+// because a reader that has not noticed the restore has a larger revision.
+TEST(restored_store, FollowerTakesNothingOfAnEarlierEra) {
+  relayed_pair pair;
+  store_stand_in restored_store(pair.follower.context());
+  PutFirstContent(restored_store);
+  restored_store.Restore(restored_store.Copy());
+  PutEndpoint(restored_store, {kEndpoints});
+  PutOthers(pair.store, 20);
+  pair.Start(restored_store.address());
+  CHECK(IsUsable(pair.follower, kEndpoints));
+  CHECK(HoldsFor({&pair.reader, &pair.follower}, seconds(2),
+                 [&pair] { return IsUsable(pair.follower, kEndpoints); }));
+}
+
+// Guards against work for an endpoint that has left, which an older copy lists
+// as ready.
+TEST(restored_store, EndpointThatLeftStaysGone) {
+  enum class leaving { kDrained, kRemoved, kRemovedInAnOutage };
+  for (const leaving way :
+       {leaving::kDrained, leaving::kRemoved, leaving::kRemovedInAnOutage}) {
+    lone_vm vm;
+    CHECK(vm.StartAndWatch());
+    const store_copy copy = vm.store.Copy();
+    if (way == leaving::kDrained) {
+      PutEndpoint(vm.store, {3, 2, 1, true});
+      CHECK(vm.Run(seconds(2), [&vm] { return !IsUsable(vm.process, 3); }));
+    }
+    if (way == leaving::kRemovedInAnOutage) {
+      vm.store.SetFault(store_fault::kRefuses);
+      vm.Run(milliseconds(1300), [] { return false; });
+    }
+    vm.store.Remove(platform::MakeEndpointKey(3));
+    vm.store.SetFault(store_fault::kNone);
+    CHECK(vm.Run(seconds(3), [&vm] {
+      return vm.process.Find<endpoint_registry>()->Find("i-3") == nullptr &&
+             vm.IsWatching();
+    }));
+    vm.store.Restore(copy);
+    CHECK(HoldsFor({&vm.process}, kWrittenAgain,
+                   [&vm] { return !IsUsable(vm.process, 3); }));
+  }
+}
+
+// Guards against endpoints that get no work until they have written again,
+// because they started after an older copy was taken. Neither a short outage
+// nor a small share of such endpoints shows that they are gone.
+TEST(restored_store, EndpointThatTheCopyLacksStaysInUse) {
+  struct restore_case {
+    int missing;
+    milliseconds outage;
+  };
+  for (const restore_case& each :
+       {restore_case{1, milliseconds(0)}, restore_case{5, milliseconds(300)},
+        restore_case{1, milliseconds(1300)}}) {
+    lone_vm vm;
+    const store_copy copy = vm.store.Copy();
+    for (int index = kEndpoints; index < kEndpoints + each.missing; ++index)
+      PutEndpoint(vm.store, {index});
+    CHECK(vm.StartAndWatch());
+    const auto are_all_usable = [&] {
+      for (int index = 0; index < kEndpoints + each.missing; ++index) {
+        if (!IsUsable(vm.process, index))
+          return false;
+      }
+      return true;
+    };
+    CHECK(are_all_usable());
+    if (each.outage > milliseconds(0)) {
+      vm.store.SetFault(store_fault::kRefuses);
+      CHECK(HoldsFor({&vm.process}, each.outage, are_all_usable));
+    }
+    vm.store.Restore(copy);
+    vm.store.SetFault(store_fault::kNone);
+    CHECK(HoldsFor({&vm.process}, kWrittenAgain, are_all_usable));
+    for (int index = kEndpoints; index < kEndpoints + each.missing; ++index)
+      PutEndpoint(vm.store, {index, 4});
+    CHECK(HoldsFor({&vm.process}, seconds(2), are_all_usable));
+  }
+}
+
+// Guards against a second restore that passes for the first: it gives the same
+// revisions out again while the VM that has just listed asks for its watch.
+TEST(restored_store, SecondRestoreIsNoticed) {
+  lone_vm vm;
+  const store_copy copy = vm.store.Copy();
+  PutOthers(vm.store, 5);
+  CHECK(vm.StartAndWatch());
+  bool is_second_due = true;
+  vm.store.Restore(copy);
+  PutState(vm.store, 8);
+  vm.store.SetCallHook([&](const std::string& target) {
+    if (target.find("kv-watch") == std::string::npos || !is_second_due)
+      return;
+    is_second_due = false;
+    vm.store.Restore(copy);
+    PutState(vm.store, 9);
+  });
+  vm.Run(kInForce, [&] { return VersionOf(vm.process) == 9; });
+  LONGS_EQUAL(9, VersionOf(vm.process));
+  CHECK_FALSE(is_second_due);
+}
+
 }  // namespace papayakeel
