Compare positions in the store only within one of its eras

When the store came back from a copy some seconds old, 120 of 141 VMs kept the state of before: callers got 404 for a route that had been acknowledged seconds ago, and answers by an older version, until the next change beyond the old revision, and what lay between was never read.

Cause: a revision is meaningful only in the history that issued it, and a restored store issues revisions a second time. state_feed and state_relay took the larger revision for the newer one, so a reader with a lower revision was told nothing or taken for behind, and an equal revision passed for known. The class of fault is ordering by a counter that does not survive its owner.

A store_position now pairs the era that the store names in each answer with the revision, and is ordered by both. A changed era leads to a new listing; relays hand the era on, answer a watch of another era at once, and never move a follower back. The desired state in force is kept as before, by its version. Endpoints that the copy lacks stay for 2.5 s (they are written again within about two), whatever the length of the outage; endpoints that were removed in an earlier era are not taken from the copy unless their entry is of a later start or report.

Followers of an earlier program ask a relay without an era and are answered in the relay's; answers of such a relay count as era 0, so that newer followers pass it over and read the store until it is replaced.

--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -411,6 +411,14 @@
   sink.Counter("papayakeel_store_failures_total",
                "Calls to the platform's store that failed", {},
                static_cast<double>(feed_->failures_total()));
+  sink.Gauge("papayakeel_store_era", "Era of the state that has been read", {},
+             static_cast<double>(feed_->position().era));
+  sink.Gauge("papayakeel_store_revision",
+             "Revision of the state that has been read", {},
+             static_cast<double>(feed_->position().revision));
+  sink.Counter("papayakeel_store_restores_total",
+               "Restores of the store from an older copy", {},
+               static_cast<double>(feed_->restores_total()));
   if (feed_->last_answer()) {
     sink.Gauge(
         "papayakeel_store_answer_age_seconds",
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -40,10 +40,16 @@
 // endpoint must get no work 2 s after its entry was permanently removed, so the
 // grace period is shorter than 2 s.
 constexpr time_span kReappearanceGracePeriod = std::chrono::milliseconds(1600);
+// What was written after the copy was made is written again within about 2 s of
+// the store's return.
+constexpr time_span kRestoreGracePeriod = std::chrono::milliseconds(2500);
 // An outage lets many entries of a service expire. When at most this share of a
 // service's entries is missing, they are removed at once: a process that was
 // itself cut off for seconds must not use endpoints that left meanwhile.
 constexpr double kMaxRemovableShare = 0.25;
+// How long removed endpoints are remembered. The copy that a store is restored
+// from is seconds old.
+constexpr time_span kDepartureMemory = std::chrono::seconds(60);
 // No entry expires in a store outage shorter than this.
 constexpr time_span kMinExpiringOutage = std::chrono::seconds(1);
 
@@ -113,7 +119,6 @@
 void state_feed::Fetch(const std::string& target,
                        time_span timeout,
                        void (state_feed::*handle)(const fetch_result&)) {
-  source_ = ChooseSource();
   if (!IsFollowing())
     ++calls_total_;
   fetch_request fetch;
@@ -133,10 +138,11 @@
 
 void state_feed::List(const std::string& after_key) {
   if (after_key.empty()) {
-    listing_revision_.reset();
+    listing_position_.reset();
     listed_ids_.clear();
     listed_changes_.clear();
   }
+  source_ = ChooseSource();
   Fetch(contract_.list_target(after_key), kListTimeout, &state_feed::OnList);
 }
 
@@ -147,41 +153,57 @@
       contract_.read_list(answer->result_int(), answer->body());
   if (!page)
     return OnFailure(ToString(page.error()));
-  if (IsFollowing() && page->as_of < revision_)
+  const store_position as_of = {contract_.read_era(*answer), page->as_of};
+  if (IsRelayBehind(as_of))
     return OnFailure("relay_behind");
   OnSuccess();
+  if (listing_position_ && listing_position_->era != as_of.era)
+    return List("");
   // The pages of a listing are not a consistent snapshot. The watch starts at
   // the revision of the first page and repeats changes made since then.
-  if (!listing_revision_)
-    listing_revision_ = page->as_of;
+  if (!listing_position_) {
+    listing_position_ = as_of;
+    if (has_listing_ && !Continues(as_of))
+      OnStoreRestored(as_of);
+  }
   for (const store_change& change : page->changes) {
-    if (std::holds_alternative<endpoint_entry>(change.value))
-      listed_ids_.insert(change.endpoint_id);
-    Apply(change);
     listed_changes_.push_back(change);
+    if (const auto* entry = std::get_if<endpoint_entry>(&change.value)) {
+      if (IsKnownDeparture(*entry)) {
+        Log(log_level::kInfo, "endpoint_outdated",
+            {{"endpoint", entry->id},
+             {"revision", std::to_string(change.revision)}});
+        continue;
+      }
+      listed_ids_.insert(entry->id);
+    }
+    Apply(change);
   }
   if (page->has_more && !page->last_key.empty())
     return List(page->last_key);
+  std::vector<std::string> unlisted_ids;
+  for (const endpoint_entry& entry : endpoints_->All()) {
+    if (listed_ids_.count(entry.id) == 0)
+      unlisted_ids.push_back(entry.id);
+  }
   if (event_loop::Now() < reappearance_deadline_) {
-    std::vector<std::string> unlisted_ids;
-    for (const endpoint_entry& entry : endpoints_->All()) {
-      if (listed_ids_.count(entry.id) == 0)
-        unlisted_ids.push_back(entry.id);
-    }
     missing_ids_.insert(unlisted_ids.begin(), unlisted_ids.end());
     for (const std::string& id : unlisted_ids)
-      RemoveEndpoint(id, !IsMissingShareSmall(id));
+      RemoveEndpoint(id, event_loop::Now() < restore_grace_end_ ||
+                             !IsMissingShareSmall(id));
   } else {
-    endpoints_->RetainOnly(listed_ids_);
+    for (const std::string& id : unlisted_ids)
+      RemoveEndpoint(id, false);
   }
-  revision_ = *listing_revision_;
-  relay_->SetListing(listed_changes_, revision_);
+  position_ = *listing_position_;
+  relay_->SetListing(listed_changes_, position_);
   relay_->SetFresh(is_reader_);
   listed_changes_.clear();
   if (!has_listing_) {
     Log(log_level::kInfo, "store_listed",
         {{"endpoints", std::to_string(endpoints_->size())},
-         {"revision", std::to_string(revision_)}});
+         {"era", std::to_string(position_.era)},
+         {"revision", std::to_string(position_.revision)}});
   }
   has_listing_ = true;
   Watch();
@@ -199,11 +221,12 @@
   has_joined_ = has_joined_ || HasJoined();
   if (!has_joined_)
     return Schedule(kJoinCheckInterval, [this] { Watch(); });
-  const bool is_following = ChooseSource() != settings_.store;
-  const bool is_relayed = is_following || is_reader_;
+  source_ = ChooseSource();
+  const bool is_relayed = IsFollowing() || is_reader_;
   const time_span wait = is_relayed ? kRelayedWatchWait : kWatchWait;
   relay_->SetFresh(is_reader_ && failures_in_row_ == 0);
-  Fetch(contract_.watch_target(revision_, wait),
+  Fetch(IsFollowing() ? contract_.relay_watch_target(position_, wait)
+                      : contract_.watch_target(position_.revision, wait),
         wait + (is_relayed ? kRelayTimeout : kWatchAnswerTimeout),
         &state_feed::OnWatch);
 }
@@ -217,14 +240,20 @@
     if (page.error() != store_error_code::kHistoryGone)
       return OnFailure(ToString(page.error()));
     Log(log_level::kWarning, "store_history_gone",
-        {{"revision", std::to_string(revision_)}});
+        {{"era", std::to_string(position_.era)},
+         {"revision", std::to_string(position_.revision)}});
     return List("");
   }
+  const store_position as_of = {contract_.read_era(*answer), page->as_of};
+  if (IsRelayBehind(as_of))
+    return OnFailure("relay_behind");
   OnSuccess();
+  if (!Continues(as_of))
+    return List("");
   for (const store_change& change : page->changes)
     Apply(change);
-  revision_ = std::max(revision_, page->as_of);
-  relay_->AddChanges(page->changes, revision_);
+  position_ = std::max(position_, as_of);
+  relay_->AddChanges(page->changes, position_);
   if (needs_second_listing_) {
     needs_second_listing_ = false;
     return List("");
@@ -234,12 +263,32 @@
   Schedule(kBatchDelay, [this] { Watch(); });
 }
 
+bool state_feed::Continues(const store_position& as_of) const {
+  return as_of.era == position_.era && !(as_of < position_);
+}
+
+bool state_feed::IsRelayBehind(const store_position& as_of) const {
+  return IsFollowing() && as_of < position_;
+}
+
+void state_feed::OnStoreRestored(const store_position& listed) {
+  Log(log_level::kWarning, "store_restored",
+      {{"era", std::to_string(listed.era)},
+       {"revision", std::to_string(listed.revision)},
+       {"previous_era", std::to_string(position_.era)},
+       {"previous_revision", std::to_string(position_.revision)}});
+  ++restores_total_;
+  restore_grace_end_ = event_loop::Now() + kRestoreGracePeriod;
+  reappearance_deadline_ = std::max(reappearance_deadline_, restore_grace_end_);
+}
+
 void state_feed::OnSuccess() {
   const monotonic_time now = event_loop::Now();
   if (failures_in_row_ > 0) {
     const time_span outage = now - failing_since_;
     if (outage >= kMinExpiringOutage)
-      reappearance_deadline_ = now + kReappearanceGracePeriod;
+      reappearance_deadline_ =
+          std::max(reappearance_deadline_, now + kReappearanceGracePeriod);
     Log(log_level::kInfo, "store_regained",
         {{"failures", std::to_string(failures_in_row_)},
          {"away_ms", std::to_string(ToMilliseconds(outage))}});
@@ -298,7 +347,8 @@
     failing_since_ = event_loop::Now();
     Log(log_level::kWarning, "store_lost",
         {{"reason", std::string(reason)},
-         {"revision", std::to_string(revision_)}});
+         {"era", std::to_string(position_.era)},
+         {"revision", std::to_string(position_.revision)}});
   }
   ++failures_total_;
   const int doublings = std::min(failures_in_row_, 10);
@@ -333,6 +383,7 @@
   }
   if (const auto* entry = std::get_if<endpoint_entry>(&change.value)) {
     missing_ids_.erase(entry->id);
+    departed_.erase(entry->id);
     const endpoint_entry* known = endpoints_->Find(entry->id);
     const bool was_leaving = known != nullptr && known->is_leaving;
     if (known == nullptr || was_leaving != entry->is_leaving) {
@@ -369,7 +420,7 @@
       {{"endpoint", id}, {"outcome", may_return ? "may_return" : "gone"}});
   if (!may_return) {
     missing_ids_.erase(id);
-    endpoints_->Remove(id);
+    ForgetEndpoint(id);
     return;
   }
   missing_ids_.insert(id);
@@ -384,14 +435,34 @@
   for (const std::string& id : missing_ids_) {
     Log(log_level::kInfo, "endpoint_removed",
         {{"endpoint", id}, {"outcome", "did_not_return"}});
-    endpoints_->Remove(id);
+    ForgetEndpoint(id);
   }
   missing_ids_.clear();
 }
 
+void state_feed::ForgetEndpoint(const std::string& id) {
+  const monotonic_time now = event_loop::Now();
+  for (auto each = departed_.begin(); each != departed_.end();) {
+    const bool is_old = now - each->second.removed_at > kDepartureMemory;
+    each = is_old ? departed_.erase(each) : std::next(each);
+  }
+  if (const endpoint_entry* entry = endpoints_->Find(id))
+    departed_[id] = {*entry, position_.era, now};
+  endpoints_->Remove(id);
+}
+
+bool state_feed::IsKnownDeparture(const endpoint_entry& entry) const {
+  const auto found = departed_.find(entry.id);
+  return found != departed_.end() &&
+         found->second.era < listing_position_->era &&
+         !found->second.last_entry.IsOlderThan(entry);
+}
+
 nlohmann::json state_feed::DumpState() const {
   nlohmann::json state = {{"listed", has_listing_},
-                          {"revision", revision_},
+                          {"era", position_.era},
+                          {"revision", position_.revision},
+                          {"restores", restores_total_},
                           {"calls", calls_total_},
                           {"failures", failures_total_},
                           {"failures_in_row", failures_in_row_}};
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -17,6 +17,8 @@
 #include "core/service_registry.h"
 #include "modules/http/http_fetch.h"
 #include "modules/state_feed/store_contract.h"
+#include "modules/state_feed/store_position.h"
+#include "servers/discovery/endpoint_entry.h"
 #include "servers/settings/entry_settings.h"
 
 namespace papayakeel {
@@ -54,8 +56,16 @@
   }
   std::uint64_t calls_total() const { return calls_total_; }
   std::uint64_t failures_total() const { return failures_total_; }
+  std::uint64_t restores_total() const { return restores_total_; }
+  // The state in force contains all changes up to this position.
+  const store_position& position() const { return position_; }
 
  private:
+  struct departed_endpoint {
+    endpoint_entry last_entry;
+    std::uint64_t era = 0;  // Of the store that removed it.
+    monotonic_time removed_at;
+  };
   using fetch_result = tl::expected<http_response, fetch_error_code>;
 
   void List(const std::string& after_key);
@@ -83,6 +93,16 @@
   // Removes an endpoint immediately, or, with `may_return`, at
   // `reappearance_deadline_` unless its entry has reappeared by then.
   void RemoveEndpoint(const std::string& id, bool may_return);
+  // Handles a listing of a store that was restored from an older copy.
+  void OnStoreRestored(const store_position& listed);
+  // Whether an answer at `as_of` continues the history that has been read.
+  bool Continues(const store_position& as_of) const;
+  // Whether the relay that answered at `as_of` has read less than this process.
+  bool IsRelayBehind(const store_position& as_of) const;
+  // Whether `entry`, listed by a restored store, was already reported gone.
+  bool IsKnownDeparture(const endpoint_entry& entry) const;
+  // Removes an endpoint and remembers its last report.
+  void ForgetEndpoint(const std::string& id);
   // Whether the share of missing endpoints in the service of `id`, including
   // `id`, is too small to be the result of a store outage.
   bool IsMissingShareSmall(const std::string& id) const;
@@ -101,19 +121,19 @@
   std::optional<boost::asio::steady_timer> timer_;
   std::optional<boost::asio::steady_timer> removal_timer_;
 
-  std::uint64_t revision_ = 0;  // Last revision that has been read.
+  store_position position_;  // Last position that has been read.
   bool has_listing_ = false;
   monotonic_time started_at_;
   monotonic_time members_changed_at_;
   bool has_joined_ = false;
-  std::optional<std::uint64_t> listing_revision_;  // Of the first page.
+  std::optional<store_position> listing_position_;  // Of the first page.
   std::set<std::string> listed_ids_;
   // An interrupted watch may have missed changes that the store has since
   // dropped from its history, and so may the watch that follows at once. A
   // listing after each of the two recovers such changes; true while the second
   // listing is due.
   bool needs_second_listing_ = false;
-  network_address source_;  // Target of the current call.
+  network_address source_;  // The store or a relay; target of the current call.
   bool is_reader_ = false;  // This process reads the store for others.
   // Number of consecutive relay failures and the time of the last one.
   std::size_t relay_failures_ = 0;
@@ -125,10 +145,17 @@
   // it may have expired only during the outage.
   monotonic_time reappearance_deadline_;
   std::set<std::string> missing_ids_;  // Removed, may reappear.
+  // Until this time after a restore, every missing entry may reappear, however
+  // few there are.
+  monotonic_time restore_grace_end_;
+  // The last reports of endpoints that were removed recently. The copy that a
+  // store is restored from may still list them.
+  std::map<std::string, departed_endpoint> departed_;  // By id.
   std::optional<monotonic_time> last_answer_;
   network_address last_answer_source_;
   std::uint64_t calls_total_ = 0;
   std::uint64_t failures_total_ = 0;
+  std::uint64_t restores_total_ = 0;
   bool is_stopped_ = false;
 };
 
--- a/modules/state_feed/state_relay.cc
+++ b/modules/state_feed/state_relay.cc
@@ -49,18 +49,18 @@
 }
 
 void state_relay::SetListing(const std::vector<store_change>& items,
-                             std::uint64_t as_of) {
+                             const store_position& as_of) {
   items_.clear();
   for (const store_change& item : items)
     items_[item.key] = {item.revision, item.original};
   history_.clear();
-  history_from_ = as_of;
+  history_from_ = as_of.revision;
   as_of_ = as_of;
   AnswerWaiting();
 }
 
 void state_relay::AddChanges(const std::vector<store_change>& changes,
-                             std::uint64_t as_of) {
+                             const store_position& as_of) {
   for (const store_change& change : changes) {
     if (std::holds_alternative<removed_entry>(change.value))
       items_.erase(change.key);
@@ -88,8 +88,7 @@
   if (!question)
     return exchange.respond(http_response(http::status::not_found, kHttp11));
   const bool must_wait = question->is_watch && is_fresh_ &&
-                         question->after_revision >= as_of_ &&
-                         question->wait > time_span(0);
+                         IsUpToDate(*question) && question->wait > time_span(0);
   if (!must_wait)
     return Answer(*question, exchange.respond);
   const std::uint64_t number = next_watch_++;
@@ -121,13 +120,18 @@
 void state_relay::AnswerWaiting() {
   std::vector<std::uint64_t> due;
   for (const auto& [number, waiting] : waiting_) {
-    if (!is_fresh_ || waiting.question.after_revision < as_of_)
+    if (!is_fresh_ || !IsUpToDate(waiting.question))
       due.push_back(number);
   }
   for (const std::uint64_t number : due)
     AnswerWatch(number);
 }
 
+bool state_relay::IsUpToDate(const store_request& watch) const {
+  return watch.after_era.value_or(as_of_.era) == as_of_.era &&
+         watch.after_revision >= as_of_.revision;
+}
+
 void state_relay::Answer(const store_request& question,
                          const std::function<void(http_response)>& respond) {
   if (!is_fresh_) {
@@ -137,7 +141,8 @@
   if (!question.is_watch) {
     for (const auto& [key, item] : items_)
       originals.push_back(item.original);
-  } else if (question.after_revision < history_from_) {
+  } else if (question.after_era.value_or(as_of_.era) != as_of_.era ||
+             question.after_revision < history_from_) {
     http_response gone(http::status::ok, kHttp11);
     gone.result(contract_.history_gone_status);
     return respond(std::move(gone));
@@ -150,17 +155,16 @@
   ++answers_;
   http_response response(http::status::ok, kHttp11);
   response.set(http::field::content_type, "application/json");
+  contract_.write_era(response, as_of_.era);
   response.body() = contract_.write_answer(
-      question, originals, std::max(as_of_, question.after_revision));
+      question, originals, std::max(as_of_.revision, question.after_revision));
   respond(std::move(response));
 }
 
 nlohmann::json state_relay::DumpState() const {
-  return {{"items", items_.size()},
-          {"history", history_.size()},
-          {"as_of", as_of_},
-          {"fresh", is_fresh_},
-          {"waiting", waiting_.size()},
+  return {{"items", items_.size()}, {"history", history_.size()},
+          {"era", as_of_.era},      {"as_of", as_of_.revision},
+          {"fresh", is_fresh_},     {"waiting", waiting_.size()},
           {"answers", answers_}};
 }
 
--- a/modules/state_feed/state_relay.h
+++ b/modules/state_feed/state_relay.h
@@ -48,9 +48,11 @@
 
   // Store what this process has read from the store: a full listing, or
   // changes. Each change takes effect at its own revision.
-  void SetListing(const std::vector<store_change>& items, std::uint64_t as_of);
+  void SetListing(const std::vector<store_change>& items,
+                  const store_position& as_of);
+  // `as_of` must have the era of the last listing.
   void AddChanges(const std::vector<store_change>& changes,
-                  std::uint64_t as_of);
+                  const store_position& as_of);
   // Sets whether the state is fresh: true after the store has answered, false
   // when it no longer answers.
   void SetFresh(bool is_fresh);
@@ -67,6 +69,8 @@
   };
 
   void Handle(const http_exchange& exchange);
+  // Whether there is nothing to answer to `watch` yet.
+  bool IsUpToDate(const store_request& watch) const;
   void Answer(const store_request& question,
               const std::function<void(http_response)>& respond);
   void AnswerWatch(std::uint64_t number);
@@ -81,8 +85,9 @@
   std::unique_ptr<http_listener> listener_;
   std::map<std::string, kept_change> items_;  // By key.
   std::deque<kept_change> history_;           // Oldest first.
-  std::uint64_t as_of_ = 0;
-  std::uint64_t history_from_ = 0;  // History holds changes after this one.
+  store_position as_of_;
+  // History holds changes after this one, all of the era of `as_of_`.
+  std::uint64_t history_from_ = 0;
   bool is_fresh_ = false;
   // By watch number, because the handler of an expired timer can run after its
   // watch was answered and erased.
--- a/modules/state_feed/store_contract.h
+++ b/modules/state_feed/store_contract.h
@@ -15,6 +15,8 @@
 #include <tl/expected.hpp>
 
 #include "core/monotonic_time.h"
+#include "modules/http/http_types.h"
+#include "modules/state_feed/store_position.h"
 #include "servers/discovery/endpoint_entry.h"
 #include "servers/routing/desired_state.h"
 
@@ -52,8 +54,10 @@
 // A request that a follower sends to a relay instead of the store.
 struct store_request {
   bool is_watch = false;
-  std::uint64_t after_revision = 0;  // Watches only.
-  time_span wait{0};                 // Watches only.
+  // Watches only. Without an era, `after_revision` counts in the relay's era.
+  std::optional<std::uint64_t> after_era;
+  std::uint64_t after_revision = 0;
+  time_span wait{0};  // Watches only.
 };
 
 // One page of a listing, or the changes since a revision.
@@ -71,12 +75,20 @@
   std::function<std::string(const std::string& after_key)> list_target;
   std::function<std::string(std::uint64_t after_revision, time_span wait)>
       watch_target;
+  // As `watch_target`, for a relay instead of the store.
+  std::function<std::string(const store_position& after, time_span wait)>
+      relay_watch_target;
   // Parse the answers to these requests.
   std::function<store_page_result(unsigned status, std::string_view body)>
       read_list;
   std::function<store_page_result(unsigned status, std::string_view body)>
       read_watch;
 
+  // Read and write the era in the header of an answer. An answer without a
+  // valid era has era 0.
+  std::function<std::uint64_t(const http_response& answer)> read_era;
+  std::function<void(http_response& answer, std::uint64_t era)> write_era;
+
   // The server side, for a relay: parses a request target, and writes an answer
   // from changes in the store's encoding.
   std::function<std::optional<store_request>(std::string_view target)>
--- a/servers/discovery/endpoint_entry.h
+++ b/servers/discovery/endpoint_entry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 #include "core/monotonic_time.h"
 #include "core/network_address.h"
@@ -20,6 +21,12 @@
   std::uint64_t sequence = 0;         // Report number; restarts at 0.
   std::uint64_t started_unix_ms = 0;  // Distinguishes starts with one id.
   time_span warm_up_left{0};          // Remaining slow period after a start.
+
+  // Whether `other` is a later report, or of a later start, of this id.
+  bool IsOlderThan(const endpoint_entry& other) const {
+    return std::tie(started_unix_ms, sequence) <
+           std::tie(other.started_unix_ms, other.sequence);
+  }
 };
 
 }  // namespace papayakeel
--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -2,7 +2,6 @@
 #include "servers/discovery/endpoint_registry.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace papayakeel {
@@ -16,10 +15,8 @@
     return true;
   }
   endpoint_entry& known = found->second;
-  if (std::tie(entry.started_unix_ms, entry.sequence) <
-      std::tie(known.started_unix_ms, known.sequence)) {
+  if (entry.IsOlderThan(known))
     return false;
-  }
   const std::string previous_service = known.service;
   const bool is_same =
       known.started_unix_ms == entry.started_unix_ms &&
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -292,7 +292,7 @@
   registry.StartAll();
   state_relay* relay = registry.Find<state_relay>(state_relay::kName);
   CHECK(relay->Listen());
-  relay->SetListing({}, 1);
+  relay->SetListing({}, {0, 1});
   relay->SetFresh(true);
   int answers = 0;
   std::uint64_t revision = 1;
@@ -321,7 +321,7 @@
     change.revision = ++revision;
     change.original = "{\"key\":\"servers/i-1\",\"revision\":2}";
     boost::asio::post(context, [relay, change, revision] {
-      relay->AddChanges({change}, revision);
+      relay->AddChanges({change}, {0, revision});
     });
     context.run_for(milliseconds(4));
   }
