Parse pipelined requests only while no read is outstanding

Callers that sent more than 32 requests ahead on one connection could get a later request rejected with 400, or see an earlier one run again in its place.

The session stops parsing at 32 requests in flight, so that complete requests stay in the buffer. When two responses were ready in a row, the session started to read while the second was written, without parsing first. After that write it parsed all that was left, and flat_buffer reset to its start although the read still wrote into the area behind it. The commit after the read then exposed bytes parsed before.

The new test printed before the fix, for requests 100 to 135:

expected <100 101 [...] 131 132 133 134 135 > but was <100 101 [...] 131 132 133 132 133 >

Now the session parses before every read, also while a response is written, and never parses while a read is outstanding. Nothing is missed by that: a read starts only when no complete request is left in the buffer, and requests in flight only get fewer until it ends. Parse is the only place that consumes the buffer; draining, lingering and closing discard bytes without committing them.

The caller_session tests pass in the plain and in the sanitized build.

--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -82,6 +82,10 @@
 }
 
 void caller_session::Parse() {
+  // A read begins only after all complete requests are parsed, so the buffer
+  // has nothing to parse before that read ends.
+  if (is_reading_)
+    return;
   while (buffer_.size() > 0 && !is_closing_ && host_ != nullptr &&
          pending_.size() < kMaxPipelinedRequests) {
     if (!parser_) {
@@ -346,10 +350,8 @@
   if (closes)
     return Linger();
   Flush();
-  if (!is_writing_) {
-    Parse();
-    ArmTimer();
-  }
+  Parse();
+  ArmTimer();
   Read();
 }
 
--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -54,6 +54,7 @@
 
   // Returns nullptr if request `number` is unknown or already has a response.
   pending_answer* FindUnanswered(std::uint64_t number);
+  // Call only after Parse.
   void Read();
   void OnBytes(const boost::system::error_code& error, std::size_t size);
   void Parse();
@@ -79,6 +80,9 @@
   session_host* host_;  // Null after Close.
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  // Holds no complete request while `is_reading_`, unless `is_closing_`. Not
+  // consumed while `is_reading_`: the read writes into the area after the
+  // unparsed bytes, which `consume` may reassign.
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   bool has_checked_header_ = false;
--- a/tests/modules/entry_gateway/caller_session_test.cc
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -119,10 +119,47 @@
   std::shared_ptr<caller_session> session_;
 };
 
+std::string NumberedRequest(int id) {
+  return "GET /a/ HTTP/1.1\r\nHost: a\r\nId: " + std::to_string(id) +
+         "\r\n\r\n";
+}
+
 }  // namespace
 
 TEST_GROUP(caller_session){};
 
+// Guards against pipelined requests that are run twice or rejected because
+// parsed bytes are read again. The buffer holds unparsed requests here while
+// the session reads the next bytes.
+TEST(caller_session, RunsRequestsBeyondThePipelineLimitOnce) {
+  session_fixture fixture;
+  fixture.answers_at_once = false;
+  std::string bytes;
+  for (int id = 100; id < 134; ++id)
+    bytes += NumberedRequest(id);
+  fixture.Send(bytes);
+  CHECK(fixture.RunUntil([&] { return fixture.requests.size() == 32; }));
+  // The second response is ready before the first is written, so the session
+  // writes both without a pause.
+  fixture.Answer(1);
+  fixture.Answer(0);
+  CHECK(fixture.RunUntil([&] { return fixture.requests.size() == 34; }));
+  fixture.Send(NumberedRequest(134) + NumberedRequest(135));
+  for (std::size_t index = 2; index < 32; ++index)
+    fixture.Answer(index);
+  CHECK(fixture.RunUntil([&] {
+    return fixture.requests.size() >= 36 || !fixture.refusals.empty();
+  }));
+  std::string ids;
+  for (const caller_request& each : fixture.requests)
+    ids += std::string(ToStringView(each.message["Id"])) + ' ';
+  std::string expected;
+  for (int id = 100; id < 136; ++id)
+    expected += std::to_string(id) + ' ';
+  STRCMP_EQUAL(expected.c_str(), ids.c_str());
+  LONGS_EQUAL(0, fixture.refusals.size());
+}
+
 // Guards against refused requests that leave no trace in the log.
 TEST(caller_session, ReportsEachRefusal) {
   struct sample {
