Answer 503 until limits are known instead of using built-in limits

A process that had not yet read the store measured requests by its built-in limits. A proper request with a larger header or body, allowed by every desired state, got 431 or 413, which callers never repeat.

The session took the limits of the parser from the gateway, which gave the built-in ones while no desired state was known. The new tests printed before the fix:

RefusesWithoutDesiredStateAsNotRun expected <HTTP/1.1 503 > but was <HTTP/1.1 413 Payload Too Large UsesLimitsThatArriveDuringTheHeader expected <HTTP/1.1 200 > but was <HTTP/1.1 431 Request Header Fields Too Large

Now a request whose limits are unknown when its header is complete gets 503 with Retry-After before its body is read or 100 Continue is sent, and so does a header above the built-in limit, which only bounds memory then. Limits that become known during the header apply. Malformed bytes still get 400. The parser stops after the header, so that the body of a refused request is neither allocated nor parsed.

The caller_session tests pass in the plain and in the sanitized build, all unit tests in the plain one, and the process tests platform_path WithoutADesiredStateTheAnswerIsNotRun, LogsTellWhyARequestIsRefused and ServesLookupsAndRunsBookingsOnce. The process tests bad_request did not run: programs that they need were not built in this clone.

--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -1,6 +1,7 @@
 // Request parsing, response ordering and connection shutdown.
 #include "modules/entry_gateway/caller_session.h"
 
+#include <limits>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -27,8 +28,9 @@
 // bytes sends a reset, which can make the caller lose the response.
 constexpr time_span kLingerTime = std::chrono::seconds(1);
 
-// Retry-After, in seconds, if the memory limit for request bodies is reached.
-constexpr char kBodyMemoryRetryAfter[] = "0.5";
+// Retry-After, in seconds, if the memory limit for request bodies is reached or
+// no desired state is known.
+constexpr char kRetryAfter[] = "0.5";
 
 }  // namespace
 
@@ -94,14 +96,12 @@
         buffer_.consume(1);
         continue;
       }
-      limits_ = host_->limits();
-      limits_version_ = host_->state_version();
       parser_.emplace();
-      parser_->eager(true);
-      parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
-      parser_->body_limit(limits_.body_bytes);
       has_checked_header_ = false;
+      limits_version_ = 0;
     }
+    if (limits_version_ == 0 && !has_checked_header_)
+      ReadLimits();
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
@@ -111,6 +111,7 @@
       has_checked_header_ = true;
       if (!CheckHeader())
         return;
+      parser_->eager(true);
     }
     if (parser_->is_header_done() && !ReserveBody())
       return;
@@ -119,8 +120,20 @@
       continue;
     }
     if (used == 0 || error == http::error::need_more)
-      return;
+      break;
   }
+  if (must_send_continue_ && pending_.empty() && !is_writing_)
+    SendContinue();
+}
+
+void caller_session::ReadLimits() {
+  limits_ = host_->limits();
+  limits_version_ = host_->state_version();
+  parser_->header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+  // Without a desired state, CheckHeader rejects every request with a body.
+  parser_->body_limit(limits_version_ == 0
+                          ? std::numeric_limits<std::uint64_t>::max()
+                          : limits_.body_bytes);
 }
 
 bool caller_session::CheckHeader() {
@@ -143,13 +156,13 @@
            std::move(detail));
     return false;
   }
+  if (limits_version_ == 0 && !parser_->is_done()) {
+    RefuseWithoutDesiredState();
+    return false;
+  }
   const bool expects_continue =
       boost::beast::iequals(request[http::field::expect], "100-continue");
-  if (expects_continue && !parser_->is_done()) {
-    must_send_continue_ = true;
-    if (pending_.empty() && !is_writing_)
-      SendContinue();
-  }
+  must_send_continue_ = expects_continue && !parser_->is_done();
   return true;
 }
 
@@ -188,6 +201,8 @@
 }
 
 void caller_session::OnParseError(const boost::system::error_code& error) {
+  if (error == http::error::header_limit && limits_version_ == 0)
+    return RefuseWithoutDesiredState();
   if (error == http::error::header_limit) {
     return Refuse(http::status::request_header_fields_too_large, "header_limit",
                   "header exceeds the limit",
@@ -202,6 +217,11 @@
          error.message());
 }
 
+void caller_session::RefuseWithoutDesiredState() {
+  Refuse(http::status::service_unavailable, "no_desired_state",
+         "no desired state is known", "");
+}
+
 void caller_session::Refuse(http::status status,
                             std::string_view reason,
                             std::string_view text,
@@ -221,9 +241,10 @@
   refusal.response.set(http::field::content_type, "text/plain");
   refusal.response.body() = std::string(text) + "\n";
   if (status == http::status::service_unavailable)
-    refusal.response.set(http::field::retry_after, kBodyMemoryRetryAfter);
+    refusal.response.set(http::field::retry_after, kRetryAfter);
   pending_.push_back(std::move(refusal));
   is_closing_ = true;
+  must_send_continue_ = false;
   parser_.reset();
   Flush();
 }
--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -58,6 +58,9 @@
   void Read();
   void OnBytes(const boost::system::error_code& error, std::size_t size);
   void Parse();
+  // Sets the limits of the request being read to those of the active desired
+  // state, or to the built-in ones if none is known.
+  void ReadLimits();
   // CheckHeader and ReserveBody return false if the request was rejected.
   bool CheckHeader();
   bool ReserveBody();
@@ -69,6 +72,8 @@
               std::string_view reason,
               std::string_view text,
               std::string detail);
+  // Rejects a request whose limits are not known.
+  void RefuseWithoutDesiredState();
   void SendContinue();
   void ArmTimer();
   void OnTimeout();
--- a/tests/modules/entry_gateway/caller_session_test.cc
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -36,7 +36,7 @@
  public:
   session_fixture() : caller_(context_) {
     host_.limits = [this] { return limits; };
-    host_.state_version = [] { return 7; };
+    host_.state_version = [this] { return version; };
     host_.reserve = [](std::size_t) { return true; };
     host_.release = [](std::size_t) {};
     host_.closed = [](caller_session&) {};
@@ -107,6 +107,7 @@
   }
 
   caller_limits limits;
+  std::uint64_t version = 7;  // Of the desired state, or 0 if none is known.
   bool answers_at_once = true;
   std::vector<caller_request> requests;
   std::vector<logged_refusal> refusals;
@@ -195,4 +196,63 @@
   }
 }
 
+// Guards against proper requests that get 413 or 431 for the built-in limits
+// before the operator's limits are known.
+TEST(caller_session, RefusesWithoutDesiredStateAsNotRun) {
+  const std::string start = "POST /a/ HTTP/1.1\r\nHost: a\r\nId: r-1\r\n";
+  const std::vector<std::string> samples = {
+      start + "Content-Length: 101\r\n\r\n",
+      start + "Content-Length: 50\r\n\r\n",
+      start + "Content-Length: 9000000000000000000\r\n\r\nx",
+      start + "Content-Length: 50\r\nExpect: 100-continue\r\n\r\n",
+      start + "Transfer-Encoding: chunked\r\n\r\n",
+      start + "Transfer-Encoding: chunked\r\n\r\n65\r\n",
+      start + "X: " + std::string(500, 'x') + "\r\n\r\n",
+  };
+  for (const std::string& each : samples) {
+    session_fixture fixture;
+    fixture.version = 0;
+    fixture.limits.header_bytes = 400;
+    fixture.limits.body_bytes = 100;
+    fixture.Send(each);
+    CHECK(fixture.RunUntil([&] { return !fixture.received.empty(); }));
+    STRNCMP_EQUAL("HTTP/1.1 503 ", fixture.received.c_str(), 13);
+    CHECK(fixture.received.find("\r\nRetry-After: 0.5\r\n") !=
+          std::string::npos);
+    CHECK(fixture.received.find("\r\nConnection: close\r\n") !=
+          std::string::npos);
+    LONGS_EQUAL(1, fixture.refusals.size());
+    STRCMP_EQUAL("no_desired_state", fixture.refusals.front().reason.c_str());
+    STRCMP_EQUAL("r-1", fixture.refusals.front().request_id.c_str());
+    LONGS_EQUAL(0, fixture.refusals.front().state_version);
+    LONGS_EQUAL(0, fixture.requests.size());
+  }
+}
+
+TEST(caller_session, RejectsMalformedRequestWithoutDesiredState) {
+  session_fixture fixture;
+  fixture.version = 0;
+  fixture.Send("POST /a/ HTTP/1.1\r\nContent-Length: 5\r\n\r\n");
+  CHECK(fixture.RunUntil([&] { return !fixture.received.empty(); }));
+  STRNCMP_EQUAL("HTTP/1.1 400 ", fixture.received.c_str(), 13);
+}
+
+// Guards against a request that is measured by the built-in limits although
+// the desired state is known before its header is complete.
+TEST(caller_session, UsesLimitsThatArriveDuringTheHeader) {
+  session_fixture fixture;
+  fixture.version = 0;
+  fixture.limits.header_bytes = 400;
+  fixture.limits.body_bytes = 100;
+  fixture.Send("POST /a/ HTTP/1.1\r\nHost: a\r\n");
+  fixture.version = 7;
+  fixture.limits.header_bytes = 800;
+  fixture.limits.body_bytes = 200;
+  fixture.Send("Content-Length: 150\r\nX: " + std::string(500, 'x') +
+               "\r\n\r\n" + std::string(150, 'b'));
+  CHECK(fixture.RunUntil([&] { return !fixture.received.empty(); }));
+  STRNCMP_EQUAL("HTTP/1.1 200 ", fixture.received.c_str(), 13);
+  LONGS_EQUAL(150, fixture.requests.front().message.body().size());
+}
+
 }  // namespace papayakeel
