--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -157,6 +157,18 @@
   LONGS_EQUAL(42, page->as_of);
 }
 
+// Guards against an era or revision that a relay reads differently than the
+// follower wrote it, which makes the follower list again without end.
+TEST(platform, RelaysReadLargePositionsExactly) {
+  const store_contract contract = MakeStoreContract();
+  const store_position after{(1ULL << 62) + 1, (1ULL << 61) + 1};
+  const std::optional<store_request> question = contract.parse_request(
+      contract.relay_watch_target(after, std::chrono::milliseconds(600)));
+  CHECK(question.has_value());
+  CHECK(question->after_era == after.era);
+  CHECK(question->after_revision == after.revision);
+}
+
 // Guards against loads that are misread; the fourth figure is optional.
 TEST(platform, LoadReports) {
   const caller_contract contract = MakeCallerContract();
