Read all pages of a listing from one source

The source was chosen again for each page. When a VM became a follower between two pages, or its pause of relays ended, the rest came from a relay that may have read less: an endpoint that had left since was put back, and its removal, which precedes the first page's revision, is never read again.

Evidence: the test failed before: "expected <0>, but was <1>" later pages asked of the relay.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -141,8 +141,9 @@
     listing_position_.reset();
     listed_ids_.clear();
     listed_changes_.clear();
+    // All pages come from one source: another may have read less.
+    source_ = ChooseSource();
   }
-  source_ = ChooseSource();
   Fetch(contract_.list_target(after_key), kListTimeout, &state_feed::OnList);
 }
 
--- a/tests/modules/state_feed/restored_store_test.cc
+++ b/tests/modules/state_feed/restored_store_test.cc
@@ -461,4 +461,41 @@
   CHECK_FALSE(is_second_due);
 }
 
+// Guards against a listing whose later pages are from a relay that has read
+// less: an endpoint that has left comes back and is never removed.
+TEST(restored_store, ListingIsOfOneSource) {
+  feed_process process;
+  store_stand_in store(process.context());
+  store_stand_in relay(process.context());
+  PutFirstContent(store);
+  PutFirstContent(relay);
+  store.SetPageSize(5);
+  process.Start(store.address(), relay.address());
+  const auto run = [&process](time_span limit,
+                              const std::function<bool()>& is_done) {
+    return RunUntil({&process}, limit, is_done);
+  };
+  entry_directory* directory = process.Find<entry_directory>();
+  directory->SetMembers({MakeMember(1, 0)});
+  CHECK(run(seconds(5), [&store] { return store.waiting_watches() == 1; }));
+  std::vector<member> members;
+  members.reserve(kFleetSize);
+  for (int number = 0; number < kFleetSize; ++number)
+    members.push_back(MakeMember(number, 100));
+  store.SetCallHook([&](const std::string& target) {
+    if (target.find("kv-range") != std::string::npos)
+      directory->SetMembers(members);
+  });
+  int later_pages = 0;
+  relay.SetCallHook([&later_pages](const std::string& target) {
+    const bool is_later_page = target.find("kv-range") != std::string::npos &&
+                               target.find("after=") != std::string::npos;
+    later_pages += is_later_page ? 1 : 0;
+  });
+  store.CutConnections();
+  CHECK(run(seconds(3), [&relay] { return relay.waiting_watches() == 1; }));
+  process.Stop();
+  LONGS_EQUAL(0, later_pages);
+}
+
 }  // namespace papayakeel
