Ask the store after one silent relay

A follower waited 0.9 s for each of three relays before it asked the store. With all three readers frozen that makes 2.7 s, where 2 s are allowed, and again each time the 3 s for which relays are passed over had ended. Each wait had a bound, their sum did not keep the one that counts.

A relay that does not answer in time now leads to the store at once. Relays that refuse or cannot be reached fail within 0.3 s each and are tried in turn as before.

Price: while one reader is silent, its followers read the store for 3 s.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -149,7 +149,7 @@
 
 void state_feed::OnList(const fetch_result& answer) {
   if (!answer)
-    return OnFailure(ToString(answer.error()));
+    return OnNoAnswer(answer.error());
   const store_page_result page =
       contract_.read_list(answer->result_int(), answer->body());
   if (!page)
@@ -234,7 +234,7 @@
 
 void state_feed::OnWatch(const fetch_result& answer) {
   if (!answer)
-    return OnFailure(ToString(answer.error()));
+    return OnNoAnswer(answer.error());
   const store_page_result page =
       contract_.read_watch(answer->result_int(), answer->body());
   if (!page) {
@@ -333,6 +333,14 @@
                                          : settings_.store;
 }
 
+void state_feed::OnNoAnswer(fetch_error_code error) {
+  // A silent relay takes 0.9 s. Asking further relays, which may be silent too,
+  // could delay a change by more than 2 s, so the store is asked next.
+  if (IsFollowing() && error == fetch_error_code::kTimedOut)
+    relay_failures_ = kReaderCount;
+  OnFailure(ToString(error));
+}
+
 void state_feed::OnFailure(std::string_view reason) {
   if (IsFollowing()) {
     // Fail over to the next relay, or to the store after the last one.
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -86,6 +86,7 @@
   bool HasJoined() const;
   bool IsFollowing() const { return source_ != settings_.store; }
   void OnSuccess();
+  void OnNoAnswer(fetch_error_code error);
   void OnFailure(std::string_view reason);
   // Calls `next` after `wait` unless the service is stopped first.
   void Schedule(time_span wait, std::function<void()> next);
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "drivers/event_loop.h"
 #include "modules/http/http_listener.h"
 #include "modules/state_feed/state_relay.h"
@@ -232,6 +234,52 @@
   }
 }
 
+// Guards against an outdated state while all readers are frozen at once: each
+// relay takes connections and never answers.
+TEST(state_feed, PassesOverSilentRelaysInTime) {
+  bool has_changed = false;
+  feed_process process;
+  boost::asio::io_context& context = process.context();
+  fake_store store(
+      context, [&](const std::string& target) -> std::optional<http_response> {
+        if (IsList(target))
+          return MakeAnswer("{\"items\":[],\"as_of\":1}");
+        if (!has_changed)
+          return std::nullopt;
+        return MakeAnswer("{\"events\":[" + platform::MakeEndpointItem(0) +
+                          "],\"as_of\":2}");
+      });
+  // The kernel accepts the connections.
+  using boost::asio::ip::tcp;
+  tcp::acceptor first(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const std::uint16_t port = first.local_endpoint().port();
+  tcp::acceptor second(context,
+                       {boost::asio::ip::make_address("127.0.0.2"), port});
+  tcp::acceptor third(context,
+                      {boost::asio::ip::make_address("127.0.0.3"), port});
+  process.Start(store.address(), {"127.0.0.1", port});
+  context.run_for(milliseconds(150));
+  std::vector<member> others;
+  for (int index = 0; index < 40; ++index) {
+    member other;
+    const bool is_reader = index < 3;
+    other.peer_address = {
+        is_reader ? "127.0.0." + std::to_string(index + 1) : "127.0.0.9",
+        static_cast<std::uint16_t>(7000 + index)};
+    other.capacity = is_reader ? 500 : 100;
+    others.push_back(other);
+  }
+  process.Find<entry_directory>()->SetMembers(others);
+  const endpoint_registry* endpoints = process.Find<endpoint_registry>();
+  has_changed = true;
+  const monotonic_time changed_at = event_loop::Now();
+  RunUntil(context, [&] { return endpoints->size() == 1; });
+  const time_span lag = event_loop::Now() - changed_at;
+  process.Stop();
+  // A change must be in force everywhere within 2 s.
+  CHECK(lag < seconds(2));
+}
+
 // Guards against two failures after the store was unreachable: a process that
 // was itself cut off for seconds keeps using an endpoint that left meanwhile
 // (one entry missing), and endpoints are removed although their entries only
