End the grace after a restore 3 s after a VM is back

A VM that was cut off from the store during a restore kept endpoints that had left meanwhile for 2.5 s from its first listing, which by its time limits is up to 2.2 s after it reaches the store again. Once it is in touch (3 s) it may pass them no request.

The grace now ends 2.8 s after the store was last known to be out of reach, which precedes its return. After that the rule of before holds: where at most a quarter of a service is missing, its endpoints are removed at once.

Evidence: the test failed before with "CHECK_FALSE(IsUsable(vm.process, 3)) failed". Price: after a store that was silent, endpoints that the copy lacks can be out of use for a moment until they are written again.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -43,6 +43,9 @@
 // What was written after the copy was made is written again within about 2 s of
 // the store's return.
 constexpr time_span kRestoreGracePeriod = std::chrono::milliseconds(2500);
+// A process that was itself cut off must not use endpoints that left meanwhile
+// 3 s after it reaches the store again.
+constexpr time_span kMaxGraceAfterAway = std::chrono::milliseconds(2800);
 // An outage lets many entries of a service expire. When at most this share of a
 // service's entries is missing, they are removed at once: a process that was
 // itself cut off for seconds must not use endpoints that left meanwhile.
@@ -119,6 +122,7 @@
 void state_feed::Fetch(const std::string& target,
                        time_span timeout,
                        void (state_feed::*handle)(const fetch_result&)) {
+  call_started_at_ = event_loop::Now();
   if (!IsFollowing())
     ++calls_total_;
   fetch_request fetch;
@@ -254,6 +258,7 @@
   for (const store_change& change : page->changes)
     Apply(change);
   position_ = std::max(position_, as_of);
+  last_away_at_.reset();
   relay_->AddChanges(page->changes, position_);
   if (needs_second_listing_) {
     needs_second_listing_ = false;
@@ -280,6 +285,10 @@
        {"previous_revision", std::to_string(position_.revision)}});
   ++restores_total_;
   restore_grace_end_ = event_loop::Now() + kRestoreGracePeriod;
+  if (last_away_at_) {
+    restore_grace_end_ =
+        std::min(restore_grace_end_, *last_away_at_ + kMaxGraceAfterAway);
+  }
   reappearance_deadline_ = std::max(reappearance_deadline_, restore_grace_end_);
 }
 
@@ -339,6 +348,9 @@
   if (IsFollowing() && error == fetch_error_code::kTimedOut)
     relay_failures_ = kReaderCount;
   OnFailure(ToString(error));
+  // An unanswered call shows only that the store was away when it was made.
+  if (!IsFollowing() && error != fetch_error_code::kBroken)
+    last_away_at_ = call_started_at_;
 }
 
 void state_feed::OnFailure(std::string_view reason) {
@@ -360,6 +372,7 @@
          {"revision", std::to_string(position_.revision)}});
   }
   ++failures_total_;
+  last_away_at_ = event_loop::Now();
   const int doublings = std::min(failures_in_row_, 10);
   ++failures_in_row_;
   const time_span wait = std::min(kMinBackoff * (1 << doublings), kMaxBackoff);
@@ -433,7 +446,13 @@
     return;
   }
   missing_ids_.insert(id);
-  removal_timer_->expires_at(reappearance_deadline_);
+  ScheduleRemoval();
+}
+
+void state_feed::ScheduleRemoval() {
+  const bool is_in_restore_grace = event_loop::Now() < restore_grace_end_;
+  removal_timer_->expires_at(is_in_restore_grace ? restore_grace_end_
+                                                 : reappearance_deadline_);
   removal_timer_->async_wait([this](const boost::system::error_code& error) {
     if (!error && !is_stopped_)
       RemoveMissing();
@@ -441,12 +460,18 @@
 }
 
 void state_feed::RemoveMissing() {
-  for (const std::string& id : missing_ids_) {
+  const bool may_return = event_loop::Now() < reappearance_deadline_;
+  const std::set<std::string> ids = missing_ids_;
+  for (const std::string& id : ids) {
+    if (may_return && !IsMissingShareSmall(id))
+      continue;
     Log(log_level::kInfo, "endpoint_removed",
         {{"endpoint", id}, {"outcome", "did_not_return"}});
+    missing_ids_.erase(id);
     ForgetEndpoint(id);
   }
-  missing_ids_.clear();
+  if (!missing_ids_.empty())
+    ScheduleRemoval();
 }
 
 void state_feed::ForgetEndpoint(const std::string& id) {
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -92,7 +92,8 @@
   void Schedule(time_span wait, std::function<void()> next);
   void Apply(const store_change& change);
   // Removes an endpoint immediately, or, with `may_return`, at
-  // `reappearance_deadline_` unless its entry has reappeared by then.
+  // `restore_grace_end_` or `reappearance_deadline_` unless its entry has
+  // reappeared by then.
   void RemoveEndpoint(const std::string& id, bool may_return);
   // Handles a listing of a store that was restored from an older copy.
   void OnStoreRestored(const store_position& listed);
@@ -107,7 +108,9 @@
   // Whether the share of missing endpoints in the service of `id`, including
   // `id`, is too small to be the result of a store outage.
   bool IsMissingShareSmall(const std::string& id) const;
-  // Removes the endpoints whose entries have not reappeared.
+  void ScheduleRemoval();
+  // Removes the endpoints whose entries have not reappeared. Before
+  // `reappearance_deadline_`, only where few of a service are missing.
   void RemoveMissing();
 
   service_registry& registry_;
@@ -141,13 +144,17 @@
   monotonic_time relays_failed_at_;
   std::vector<store_change> listed_changes_;  // Pages read so far.
   int failures_in_row_ = 0;
+  monotonic_time call_started_at_;
+  // The latest time at which the store is known to have been away or out of
+  // reach. Reset by a watch that continues the history.
+  std::optional<monotonic_time> last_away_at_;
   monotonic_time failing_since_;
   // After a store outage, a removed entry may reappear until this time, because
   // it may have expired only during the outage.
   monotonic_time reappearance_deadline_;
   std::set<std::string> missing_ids_;  // Removed, may reappear.
   // Until this time after a restore, every missing entry may reappear, however
-  // few there are.
+  // few there are. Not after `reappearance_deadline_`.
   monotonic_time restore_grace_end_;
   // The last reports of endpoints that were removed recently. The copy that a
   // store is restored from may still list them.
--- a/tests/modules/state_feed/restored_store_test.cc
+++ b/tests/modules/state_feed/restored_store_test.cc
@@ -461,6 +461,26 @@
   CHECK_FALSE(is_second_due);
 }
 
+// Guards against work for an endpoint that left while a VM was cut off from the
+// store: a restore in the same time must not keep it in use once the VM has
+// been in touch for 3 s again.
+TEST(restored_store, VmThatWasCutOffDropsEndpointsInTime) {
+  lone_vm vm;
+  CHECK(vm.StartAndWatch());
+  int calls = 0;
+  vm.store.SetCallHook([&calls](const std::string&) { ++calls; });
+  vm.store.SetFault(store_fault::kSilent);
+  vm.Run(seconds(4), [] { return false; });
+  vm.store.Restore(vm.store.Copy());
+  vm.store.Remove(platform::MakeEndpointKey(3));
+  // The call that is taken last before the VM is in touch again has no answer.
+  calls = 0;
+  CHECK(vm.Run(seconds(3), [&calls] { return calls > 0; }));
+  vm.store.SetFault(store_fault::kNone);
+  vm.Run(seconds(3), [] { return false; });
+  CHECK_FALSE(IsUsable(vm.process, 3));
+}
+
 // Guards against a listing whose later pages are from a relay that has read
 // less: an endpoint that has left comes back and is never removed.
 TEST(restored_store, ListingIsOfOneSource) {
