Play a store that comes back from an older copy in the soak

The soak of real processes did not play a store that is restored: away for 0.2 to 2 s, back from a copy 1 to 8 s old, with what was written since written again 0.2 to 1.9 s later in a drawn order. Series of signals, restarts and desired states overlap, and half of the callers use a connection until its process is gone.

New checks, with the users' bounds: the newest desired state is in force 2 s after it was accepted or 3 s after the last fault; a leaving endpoint that all VMs have seen leave gets nothing while the store is away or lists it again; every endpoint serves when callers press after the last restore. The record has more for them, and each has a unit test.

--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -120,20 +120,35 @@
   Run([&] { store_->Restore(copy); });
 }
 
-void platform_stand_in::WriteAgain(std::uint64_t seed) {
+std::vector<std::function<void()>> platform_stand_in::WritesAgain(
+    const std::optional<store_copy>& copy) {
+  // Whether the copy has this value, or no item when the value is empty.
+  const auto has = [&copy](const std::string& key, const std::string& value) {
+    if (!copy)
+      return false;
+    const auto item = copy->items.find(key);
+    return (item == copy->items.end() ? "" : item->second.value) == value;
+  };
   std::vector<std::function<void()>> writes;
-  if (!newest_state_.empty())
+  if (!newest_state_.empty() && !has("op/config", newest_state_))
     writes.emplace_back([this] { Put("op/config", newest_state_); });
   for (std::size_t index = 0; index < endpoints_.size(); ++index) {
     const stand_in_endpoint& known = *endpoints_[index];
-    if (known.is_registered) {
-      writes.emplace_back([this, index, is_leaving = known.is_leaving] {
-        Register(index, is_leaving);
-      });
-    } else {
-      writes.emplace_back([this, index] { Unregister(index); });
-    }
+    if (has("servers/" + known.id, known.entry))
+      continue;
+    writes.emplace_back([this, index] {
+      const stand_in_endpoint& endpoint = *endpoints_.at(index);
+      if (endpoint.is_registered)
+        Register(index, endpoint.is_leaving);
+      else
+        Unregister(index);
+    });
   }
+  return writes;
+}
+
+void platform_stand_in::WriteAgain(std::uint64_t seed) {
+  std::vector<std::function<void()>> writes = WritesAgain(std::nullopt);
   std::mt19937_64 random(seed);
   std::shuffle(writes.begin(), writes.end(), random);
   for (const std::function<void()>& write : writes)
@@ -176,6 +191,10 @@
   return index;
 }
 
+void platform_stand_in::SetWork(std::size_t endpoint, time_span work) {
+  Run([&] { endpoints_.at(endpoint)->work = work; });
+}
+
 void platform_stand_in::Register(std::size_t endpoint, bool is_leaving) {
   stand_in_endpoint& known = *endpoints_.at(endpoint);
   known.is_leaving = is_leaving;
@@ -189,7 +208,8 @@
        {{"state", is_leaving ? "draining" : "ready"},
         {"seq", ++known.registrations},
         {"warmup_left", "0ms"}}}};
-  Put("servers/" + known.id, entry.dump());
+  known.entry = entry.dump();
+  Put("servers/" + known.id, known.entry);
 }
 
 network_address platform_stand_in::AddressOf(std::size_t endpoint) const {
@@ -204,6 +224,7 @@
 
 void platform_stand_in::Unregister(std::size_t endpoint) {
   endpoints_.at(endpoint)->is_registered = false;
+  endpoints_.at(endpoint)->entry.clear();
   Remove("servers/" + endpoints_.at(endpoint)->id);
 }
 
@@ -226,7 +247,7 @@
   }
   const std::string id(request["Papayakeel-Request-Id"]);
   ++arrivals_[id];
-  endpoint.last_arrival = std::chrono::steady_clock::now();
+  endpoint.arrival_times.push_back(std::chrono::steady_clock::now());
   response.set("Papayakeel-Request-Id", id);
   if (endpoint.is_rejecting) {
     response.result(http::status::service_unavailable);
@@ -270,9 +291,15 @@
 
 std::optional<monotonic_time> platform_stand_in::LastArrivalOn(
     std::size_t endpoint) {
-  std::optional<monotonic_time> last;
-  Run([&] { last = endpoints_.at(endpoint)->last_arrival; });
-  return last;
+  const std::vector<monotonic_time> times = ArrivalTimesOn(endpoint);
+  return times.empty() ? std::nullopt : std::make_optional(times.back());
+}
+
+std::vector<monotonic_time> platform_stand_in::ArrivalTimesOn(
+    std::size_t endpoint) {
+  std::vector<monotonic_time> times;
+  Run([&] { times = endpoints_.at(endpoint)->arrival_times; });
+  return times;
 }
 
 network_address platform_stand_in::StoreAddress() const {
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -44,6 +44,10 @@
   // Writes the newest desired state and the entries of all endpoints again, and
   // removes those of endpoints that have left, in an order drawn from `seed`.
   void WriteAgain(std::uint64_t seed);
+  // The writes of WriteAgain(), one by one; with `copy` only those that it
+  // lacks. Each writes what is newest when it is called.
+  std::vector<std::function<void()>> WritesAgain(
+      const std::optional<store_copy>& copy);
 
   // Puts a desired state in force whose routes each send a prefix of the host
   // "a.example" to the service "booking": the once-only prefix "/book/" and
@@ -52,6 +56,8 @@
 
   // Starts an endpoint that takes `work` for each request and registers it.
   std::size_t AddEndpoint(time_span work);
+  // From now on it takes this long for each request.
+  void SetWork(std::size_t endpoint, time_span work);
   // Registers it anew, as leaving or not.
   void Register(std::size_t endpoint, bool is_leaving);
   // Where the endpoint listens, and where entry VMs are told to find it when
@@ -70,6 +76,8 @@
   int RunsOn(std::size_t endpoint);
   // When a request last reached this endpoint.
   std::optional<monotonic_time> LastArrivalOn(std::size_t endpoint);
+  // When requests reached this endpoint, oldest first.
+  std::vector<monotonic_time> ArrivalTimesOn(std::size_t endpoint);
 
   // Starts an entry VM at an address of its own. Its log goes to a file, or to
   // `log_path` when that is given.
@@ -100,7 +108,8 @@
     bool is_leaving = false;
     bool is_registered = true;
     int runs = 0;
-    std::optional<monotonic_time> last_arrival;
+    std::vector<monotonic_time> arrival_times;
+    std::string entry;  // As it was last written.
     network_address published_address;
     std::unique_ptr<http_listener> listener;
   };
--- a/tests/platform/soak/fault_plan.h
+++ b/tests/platform/soak/fault_plan.h
@@ -27,8 +27,10 @@
   kEndpointReset,
   kEndpointLeaves,
   kNewState,
+  kStoreRestored,  // Away, then back from an older copy.
+  kEndpointJoins,
+  kEndpointsReport,  // Each writes its entry again, some of them often.
 };
-constexpr int kSoakFaultKinds = static_cast<int>(soak_fault::kNewState) + 1;
 
 const char* ToString(soak_fault fault);
 
@@ -37,6 +39,8 @@
   soak_fault kind = soak_fault::kKillVm;
   std::size_t target = 0;  // Index of a VM or an endpoint, where it has one.
   time_span lasts{0};
+  time_span copy_age{0};   // Of kStoreRestored, when the store goes away.
+  std::uint64_t seed = 0;  // Of what is drawn when it begins.
 };
 
 struct soak_size {
@@ -45,7 +49,10 @@
   time_span length = std::chrono::seconds(20);
 };
 
-// Faults in order of time. They come in series and overlap.
+// Faults in order of time. They come in series and overlap. In most plans the
+// store comes back from older copies; some of these play little else, so that
+// what is left of that is seen. Changes around a restore may come after
+// `size.length`.
 std::vector<planned_fault> MakeFaultPlan(std::uint64_t seed,
                                          const soak_size& size);
 
--- a/tests/platform/soak/fault_soak.cc
+++ b/tests/platform/soak/fault_soak.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -26,8 +27,23 @@
 // No work starts on an endpoint that has left; those that leave come back, so
 // that the service keeps some.
 constexpr seconds kAwayTime{5};
-// Callers go on for this long after the last fault has ended.
+// An endpoint that leaves may end its entry this long after it was marked.
+constexpr milliseconds kUnlisted{800};
+// Callers go on for this long after the last fault has ended; after a restore
+// until the checks that wait for calm have something to see.
 constexpr seconds kCalmEnd{4};
+constexpr milliseconds kCalmEndAfterRestore{9500};
+// At its end callers press, so that the work needs every endpoint.
+constexpr milliseconds kPressing{4200};
+constexpr milliseconds kPressedWork{100};
+constexpr std::size_t kPressingPerEndpoint = 3;
+// The store's copies: how often and for how long they are kept.
+constexpr milliseconds kCopyEvery{200};
+constexpr seconds kCopiesKept{10};
+// The users' bound for what is written again after a restore.
+constexpr int kLeastWriteMs = 200;
+constexpr int kMostWriteMs = 1900;
+constexpr int kMostReports = 12;
 
 monotonic_time Now() {
   return std::chrono::steady_clock::now();
@@ -55,13 +71,8 @@
   site_.SetPublishedStoreAddress(store_relay_->local_address());
   newest_state_ = 1;
   site_.PutState(1, lookups_);
-  for (std::size_t index = 0; index < size_.endpoints; ++index) {
-    site_.AddEndpoint(kWork);
-    endpoint_relays_.push_back(std::make_unique<tcp_relay>(
-        network_address{"127.0.0.1", 0}, site_.AddressOf(index)));
-    site_.SetPublishedAddress(index, endpoint_relays_.back()->local_address());
-    is_leaving_.push_back(false);
-  }
+  for (std::size_t index = 0; index < size_.endpoints; ++index)
+    AddEndpoint();
   for (std::size_t index = 0; index < size_.vms; ++index) {
     site_.AddEntryVm();
     boots_.push_back(std::make_unique<std::atomic<int>>(1));
@@ -69,6 +80,27 @@
   return Await(kStartLimit, [this] { return IsEveryVmReady(); });
 }
 
+void fault_soak::AddEndpoint() {
+  const std::size_t index = site_.AddEndpoint(kWork);
+  endpoint_relays_.push_back(std::make_unique<tcp_relay>(
+      network_address{"127.0.0.1", 0}, site_.AddressOf(index)));
+  site_.SetPublishedAddress(index, endpoint_relays_.back()->local_address());
+  is_leaving_.push_back(false);
+  serving_since_.push_back(Now());
+}
+
+void fault_soak::ReportOften(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const int reports =
+      std::uniform_int_distribution<int>(1, kMostReports)(random);
+  for (int report = 0; report < reports; ++report) {
+    for (const std::function<void()>& write : site_.WritesAgain(std::nullopt)) {
+      if (random() % 2 == 0)
+        write();
+    }
+  }
+}
+
 bool fault_soak::IsEveryVmReady() const {
   for (std::size_t index = 0; index < size_.vms; ++index) {
     if (!site_.IsReady(index))
@@ -90,33 +122,111 @@
     return newest_state_ > 1 ? newest_state_.load() : 0;
   };
   std::vector<std::unique_ptr<soak_caller>> callers;
-  for (std::size_t index = 0; index < kCallers; ++index) {
-    callers.push_back(std::make_unique<soak_caller>("c" + std::to_string(index),
-                                                    seed_ * kCallers + index,
-                                                    size_.vms, hooks));
-  }
-  const monotonic_time start = Now();
-  for (const planned_fault& planned : MakeFaultPlan(seed_, size_)) {
-    while (Now() < start + planned.at) {
-      EndDueFaults();
-      std::this_thread::sleep_for(kStep);
+  const auto add_callers = [&](std::size_t count) {
+    for (; count > 0; --count) {
+      const std::size_t index = callers.size();
+      callers.push_back(std::make_unique<soak_caller>(
+          "c" + std::to_string(index), seed_ * kCallers + index, size_.vms,
+          hooks));
     }
-    Begin(planned);
-  }
-  while (!pending_.empty()) {
-    EndDueFaults();
-    std::this_thread::sleep_for(kStep);
+  };
+  add_callers(kCallers);
+  const std::vector<planned_fault> plan = MakeFaultPlan(seed_, size_);
+  Play(plan);
+  const bool has_restore =
+      std::any_of(plan.begin(), plan.end(), [](const planned_fault& planned) {
+        return planned.kind == soak_fault::kStoreRestored;
+      });
+  if (has_restore) {
+    std::this_thread::sleep_for(kCalmEndAfterRestore - kPressing);
+    for (std::size_t index = 0; index < is_leaving_.size(); ++index)
+      site_.SetWork(index, kPressedWork);
+    record_.pressed_from = Now();
+    add_callers(is_leaving_.size() * kPressingPerEndpoint);
+    std::this_thread::sleep_for(kPressing);
+  } else {
+    std::this_thread::sleep_for(kCalmEnd);
   }
-  std::this_thread::sleep_for(kCalmEnd);
+  record_.stopped_at = Now();
   for (const std::unique_ptr<soak_caller>& caller : callers) {
     const std::vector<call_record> calls = caller->Finish();
     record_.calls.insert(record_.calls.end(), calls.begin(), calls.end());
   }
   for (call_record& call : record_.calls)
     call.runs = site_.RunsOf(call.id);
+  for (std::size_t index = 0; index < is_leaving_.size(); ++index) {
+    record_.serving.push_back(
+        {index, serving_since_[index], site_.ArrivalTimesOn(index)});
+  }
   return record_;
 }
 
+void fault_soak::Play(const std::vector<planned_fault>& plan) {
+  const monotonic_time start = Now();
+  for (const planned_fault& planned : plan) {
+    while (Now() < start + planned.at)
+      Step();
+    Begin(planned);
+  }
+  while (!pending_.empty())
+    Step();
+}
+
+void fault_soak::Step() {
+  EndDueFaults();
+  KeepCopy();
+  std::this_thread::sleep_for(kStep);
+}
+
+void fault_soak::KeepCopy() {
+  const monotonic_time now = Now();
+  if (!copies_.empty() && now < copies_.back().taken_at + kCopyEvery)
+    return;
+  copies_.push_back({now, site_.CopyStore()});
+  while (copies_.front().taken_at + kCopiesKept < now)
+    copies_.pop_front();
+}
+
+void fault_soak::BeginRestore(const planned_fault& planned) {
+  KeepCopy();
+  // The newest copy that is old enough, else the oldest.
+  store_copy copy = copies_.front().copy;
+  for (const kept_copy& kept : copies_) {
+    if (kept.taken_at + planned.copy_age <= Now())
+      copy = kept.copy;
+  }
+  switch (planned.seed % 3) {
+    case 0:
+      site_.SetStoreFault(store_fault::kRefuses);
+      break;
+    case 1:
+      site_.SetStoreFault(store_fault::kSilent);
+      break;
+    default:
+      site_.SetStoreFault(store_fault::kRefuses);
+      store_relay_->Reset();
+      store_relay_->Cut();
+  }
+  EndLater(planned, [this, copy = std::move(copy), seed = planned.seed] {
+    EndRestore(copy, seed);
+  });
+}
+
+void fault_soak::EndRestore(const store_copy& copy, std::uint64_t seed) {
+  site_.RestoreStore(copy);
+  site_.SetStoreFault(store_fault::kNone);
+  store_relay_->Heal();
+  std::mt19937_64 random(seed);
+  // All is written again, or only what the copy lacks.
+  const bool is_all = random() % 2 == 0;
+  for (std::function<void()>& write :
+       site_.WritesAgain(is_all ? std::nullopt : std::make_optional(copy))) {
+    DoLater(milliseconds(std::uniform_int_distribution<int>(
+                kLeastWriteMs, kMostWriteMs)(random)),
+            std::move(write));
+  }
+}
+
 void fault_soak::Begin(const planned_fault& planned) {
   const monotonic_time now = Now();
   record_.faults.push_back({planned.kind, std::nullopt, now, now});
@@ -147,6 +257,12 @@
       return store_relay_->Reset();
     case soak_fault::kNewState:
       return PutNewState();
+    case soak_fault::kStoreRestored:
+      return BeginRestore(planned);
+    case soak_fault::kEndpointJoins:
+      return AddEndpoint();
+    case soak_fault::kEndpointsReport:
+      return ReportOften(planned.seed);
     default:
       return BeginEndpointFault(planned);
   }
@@ -197,13 +313,19 @@
   is_leaving_.at(endpoint) = true;
   site_.Register(endpoint, true);
   const std::size_t number = record_.leaving.size();
-  record_.leaving.push_back({endpoint, Now(), std::nullopt});
+  record_.leaving.push_back({endpoint, Now(), std::nullopt, {}});
+  const bool is_unlisted = ToMilliseconds(lasts) > 2000;
+  if (is_unlisted)
+    DoLater(kUnlisted, [this, endpoint] { site_.Unregister(endpoint); });
   planned_fault away;
   away.lasts = kAwayTime + lasts;
   EndLater(away, [this, endpoint, number] {
-    record_.leaving.at(number).last_arrival = site_.LastArrivalOn(endpoint);
+    leaving_record& leaving = record_.leaving.at(number);
+    leaving.last_arrival = site_.LastArrivalOn(endpoint);
+    leaving.arrivals = site_.ArrivalTimesOn(endpoint);
     is_leaving_.at(endpoint) = false;
     site_.Register(endpoint, false);
+    serving_since_.at(endpoint) = Now();
   });
 }
 
@@ -230,6 +352,10 @@
   pending_.push_back({at, record_.faults.size() - 1, std::move(end)});
 }
 
+void fault_soak::DoLater(time_span delay, std::function<void()> action) {
+  pending_.push_back({Now() + delay, std::nullopt, std::move(action)});
+}
+
 void fault_soak::EndDueFaults() {
   std::vector<pending_end> due;
   for (auto each = pending_.begin(); each != pending_.end();) {
@@ -242,7 +368,8 @@
   }
   for (const pending_end& pending : due) {
     pending.end();
-    record_.faults.at(pending.fault).to = Now();
+    if (pending.fault)
+      record_.faults.at(*pending.fault).to = Now();
   }
 }
 
--- a/tests/platform/soak/fault_soak.h
+++ b/tests/platform/soak/fault_soak.h
@@ -5,8 +5,10 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,17 +38,26 @@
  private:
   struct pending_end {
     monotonic_time at;
-    std::size_t fault = 0;  // Index in record_.faults.
+    std::optional<std::size_t> fault;  // Index in record_.faults.
     std::function<void()> end;
   };
 
   void Begin(const planned_fault& planned);
   void BeginVmFault(const planned_fault& planned);
   void BeginEndpointFault(const planned_fault& planned);
+  // Plays until all of the plan's faults have ended.
+  void Play(const std::vector<planned_fault>& plan);
+  void Step();
   void EndDueFaults();
+  void DoLater(time_span delay, std::function<void()> action);
   void EndLater(const planned_fault& planned, std::function<void()> end);
   void Restart(std::size_t vm);
   void LeaveAndReturn(std::size_t endpoint, time_span lasts);
+  void AddEndpoint();
+  void ReportOften(std::uint64_t seed);
+  void KeepCopy();
+  void BeginRestore(const planned_fault& planned);
+  void EndRestore(const store_copy& copy, std::uint64_t seed);
   void PutNewState();
   tcp_relay& RelayOf(std::size_t endpoint) {
     return *endpoint_relays_.at(endpoint);
@@ -60,6 +71,12 @@
   std::vector<std::unique_ptr<tcp_relay>> endpoint_relays_;
   std::vector<std::unique_ptr<std::atomic<int>>> boots_;  // By VM.
   std::vector<bool> is_leaving_;                          // By endpoint.
+  std::vector<monotonic_time> serving_since_;             // By endpoint.
+  struct kept_copy {
+    monotonic_time taken_at;
+    store_copy copy;
+  };
+  std::deque<kept_copy> copies_;  // Of the store, oldest first.
   std::atomic<int> newest_state_{0};
   std::vector<std::string> lookups_;
   std::vector<pending_end> pending_;
--- a/tests/platform/soak/main.cc
+++ b/tests/platform/soak/main.cc
@@ -3,6 +3,7 @@
 #include <popt.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,11 +21,16 @@
 using papayakeel::platform::soak_size;
 
 constexpr int kUsageStatus = 2;
+// Each VM has a loopback address of its own.
+constexpr int kMostVms = 60;
 
 struct soak_options {
   int first_seed = 1;
   int seeds = 1;
   int seconds = 20;
+  int vms = 3;
+  int endpoints = 5;
+  std::string log_directory = "/tmp";
   bool is_verbose = false;
 };
 
@@ -46,6 +52,8 @@
 bool RunSeed(int seed, const soak_options& options) {
   soak_size size;
   size.length = std::chrono::seconds(options.seconds);
+  size.vms = static_cast<std::size_t>(options.vms);
+  size.endpoints = static_cast<std::size_t>(options.endpoints);
   fault_soak soak(static_cast<std::uint64_t>(seed), size);
   if (!soak.Start()) {
     std::printf("seed %d: VMs did not become ready\n", seed);
@@ -80,8 +88,9 @@
     PrintFaults(record);
   if (!violations.empty()) {
     for (std::size_t vm = 0; vm < size.vms; ++vm) {
-      const std::string path = "/tmp/papayakeel-soak-" + std::to_string(seed) +
-                               "-vm" + std::to_string(vm) + ".log";
+      const std::string path = options.log_directory + "/papayakeel-soak-" +
+                               std::to_string(seed) + "-vm" +
+                               std::to_string(vm) + ".log";
       if (std::FILE* file = std::fopen(path.c_str(), "w")) {
         const std::string log = soak.LogOf(vm);
         std::fwrite(log.data(), 1, log.size(), file);
@@ -99,11 +108,17 @@
 int main(int argc, const char** argv) {
   soak_options options;
   int is_verbose = 0;
+  char* log_directory = nullptr;
   const poptOption table[] = {
       {"seed", 's', POPT_ARG_INT, &options.first_seed, 0, "first seed", "N"},
       {"seeds", 'n', POPT_ARG_INT, &options.seeds, 0, "number of seeds", "N"},
       {"seconds", 't', POPT_ARG_INT, &options.seconds, 0,
        "length of the faults of a run", "S"},
+      {"vms", 'm', POPT_ARG_INT, &options.vms, 0, "number of VMs", "N"},
+      {"endpoints", 'e', POPT_ARG_INT, &options.endpoints, 0,
+       "number of endpoints at the start", "N"},
+      {"logs", 'l', POPT_ARG_STRING, &log_directory, 0,
+       "where logs of failed runs are kept", "DIRECTORY"},
       {"verbose", 'v', POPT_ARG_NONE, &is_verbose, 0, "print all faults",
        nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -111,11 +126,17 @@
       poptGetContext("papayakeel_fault_soak", argc, argv, table, 0),
       poptFreeContext);
   const int status = poptGetNextOpt(context.get());
-  if (status < -1 || poptPeekArg(context.get()) != nullptr) {
+  const bool is_usable = options.vms > 0 && options.vms <= kMostVms &&
+                         options.endpoints > 0 && options.seconds > 0;
+  if (status < -1 || poptPeekArg(context.get()) != nullptr || !is_usable) {
     std::fprintf(stderr, "papayakeel_fault_soak: bad usage, see --help\n");
     return kUsageStatus;
   }
   options.is_verbose = is_verbose != 0;
+  if (log_directory != nullptr) {
+    options.log_directory = log_directory;
+    std::free(log_directory);
+  }
   int failed = 0;
   for (int index = 0; index < options.seeds; ++index)
     failed += RunSeed(options.first_seed + index, options) ? 0 : 1;
--- a/tests/platform/soak/soak_caller.cc
+++ b/tests/platform/soak/soak_caller.cc
@@ -33,7 +33,8 @@
     : name_(std::move(name)),
       vms_(vms),
       hooks_(std::move(hooks)),
-      random_(seed) {
+      random_(seed),
+      is_staying_(random_() % 2 == 0) {
   thread_ = std::thread([this] { RunCalls(); });
 }
 
@@ -65,7 +66,8 @@
   call.is_once_only = percent() < kOnceOnlyPercent;
   if (!call.is_once_only && percent() < kNewRoutePercent)
     call.state_version = hooks_.newest_state();
-  const bool is_changing = !stream_ || percent() < kChangeVmPercent;
+  const bool is_changing =
+      !stream_ || (!is_staying_ && percent() < kChangeVmPercent);
   call.vm = is_changing ? random_() % vms_ : connected_vm_;
   if (is_changing)
     stream_.reset();
--- a/tests/platform/soak/soak_caller.h
+++ b/tests/platform/soak/soak_caller.h
@@ -1,5 +1,6 @@
 // A caller of the soak: keeps a connection until it breaks or is closed, and
-// records what comes back for each request.
+// records what comes back for each request. Some callers change to other VMs,
+// others use a connection until its process is gone.
 #ifndef TESTS_PLATFORM_SOAK_SOAK_CALLER_H_
 #define TESTS_PLATFORM_SOAK_SOAK_CALLER_H_
 
@@ -57,6 +58,7 @@
   const std::size_t vms_;
   const soak_caller_hooks hooks_;
   std::mt19937_64 random_;
+  bool is_staying_ = false;  // Whether it keeps its VM while it can.
   std::vector<call_record> calls_;
   std::atomic<bool> is_ending_{false};
   boost::asio::io_context context_;
--- a/tests/platform/soak/soak_checks.cc
+++ b/tests/platform/soak/soak_checks.cc
@@ -17,6 +17,9 @@
 constexpr time_span kStable = milliseconds(3000);
 constexpr time_span kStateInForce = milliseconds(2000);
 constexpr time_span kDrain = milliseconds(2000);
+// An endpoint that serves gets requests in such a calm time when the callers
+// press.
+constexpr time_span kServingWindow = milliseconds(4000);
 // Wall-clock noise of a loaded machine between a write and its record.
 constexpr time_span kRecordSlack = milliseconds(250);
 
@@ -27,7 +30,9 @@
 // A fault that lets time-bound invariants lapse, for one VM or all.
 bool Disturbs(const fault_record& fault, std::optional<std::size_t> vm) {
   const bool is_planned = fault.kind == soak_fault::kNewState ||
-                          fault.kind == soak_fault::kEndpointLeaves;
+                          fault.kind == soak_fault::kEndpointLeaves ||
+                          fault.kind == soak_fault::kEndpointJoins ||
+                          fault.kind == soak_fault::kEndpointsReport;
   return !is_planned && (!vm || !fault.vm || *fault.vm == *vm);
 }
 
@@ -42,6 +47,28 @@
                       });
 }
 
+bool IsOfStore(const fault_record& fault) {
+  return fault.kind == soak_fault::kStoreRefuses ||
+         fault.kind == soak_fault::kStoreSilent ||
+         fault.kind == soak_fault::kStoreCut ||
+         fault.kind == soak_fault::kStoreReset ||
+         fault.kind == soak_fault::kStoreRestored;
+}
+
+// When the bounds began to run that hold at `at`: when the change was accepted,
+// or kStable after the end of the faults before `at`.
+monotonic_time BoundsFrom(const soak_record& record,
+                          std::optional<std::size_t> vm,
+                          monotonic_time accepted_at,
+                          monotonic_time at) {
+  monotonic_time from = accepted_at;
+  for (const fault_record& fault : record.faults) {
+    if (Disturbs(fault, vm) && fault.from <= at)
+      from = std::max(from, fault.to + kStable);
+  }
+  return from;
+}
+
 std::string Describe(const call_record& call, const std::string& what) {
   return what + ": request " + call.id + " at VM " + std::to_string(call.vm) +
          " boot " + std::to_string(call.boot) + ", status " +
@@ -87,6 +114,13 @@
           IsCalm(record, call.vm, state.accepted_at - kStable, call.sent_at);
       if (is_due)
         found.push_back(Describe(call, "state not in force in time"));
+      const bool is_due_after_faults =
+          state.version == call.state_version &&
+          call.sent_at >
+              BoundsFrom(record, call.vm, state.accepted_at, call.sent_at) +
+                  kStateInForce + kRecordSlack;
+      if (!is_due && is_due_after_faults)
+        found.push_back(Describe(call, "state not in force after faults"));
     }
   }
 }
@@ -107,6 +141,58 @@
   }
 }
 
+// Whether a leaving endpoint may get a request at `at`.
+bool MayArrive(const soak_record& record,
+               const leaving_record& leaving,
+               monotonic_time at) {
+  // VMs that have seen it leave are bound by that also while the store is away
+  // or lists it again.
+  const monotonic_time due = leaving.accepted_at + kDrain + kRecordSlack;
+  const bool is_seen =
+      IsCalm(record, std::nullopt, leaving.accepted_at - kStable, due);
+  monotonic_time from = leaving.accepted_at;
+  for (const fault_record& fault : record.faults) {
+    const bool counts = Disturbs(fault, std::nullopt) && fault.from <= at &&
+                        !(is_seen && IsOfStore(fault));
+    if (counts)
+      from = std::max(from, fault.to + kStable);
+  }
+  return at <= from + kDrain + kRecordSlack;
+}
+
+void CheckLeavingAfterFaults(const soak_record& record,
+                             std::vector<std::string>& found) {
+  for (const leaving_record& leaving : record.leaving) {
+    const std::ptrdiff_t late = std::count_if(
+        leaving.arrivals.begin(), leaving.arrivals.end(),
+        [&](monotonic_time at) { return !MayArrive(record, leaving, at); });
+    if (late > 0) {
+      found.push_back("leaving endpoint " + std::to_string(leaving.endpoint) +
+                      " got " + std::to_string(late) +
+                      " requests after faults");
+    }
+  }
+}
+
+void CheckServing(const soak_record& record, std::vector<std::string>& found) {
+  if (!record.pressed_from)
+    return;
+  for (const serving_record& serving : record.serving) {
+    const monotonic_time due =
+        std::max(*record.pressed_from,
+                 BoundsFrom(record, std::nullopt, serving.accepted_at,
+                            record.stopped_at) +
+                     kStateInForce);
+    const bool is_served =
+        std::any_of(serving.arrivals.begin(), serving.arrivals.end(),
+                    [&](monotonic_time at) { return at >= due; });
+    if (record.stopped_at >= due + kServingWindow && !is_served) {
+      found.push_back("endpoint " + std::to_string(serving.endpoint) +
+                      " gets no requests again");
+    }
+  }
+}
+
 // Requests that a VM held when it was told to stop are answered.
 void CheckStops(const soak_record& record, std::vector<std::string>& found) {
   for (const fault_record& stop : record.faults) {
@@ -139,6 +225,8 @@
     CheckCall(call, found);
   CheckStates(record, found);
   CheckLeaving(record, found);
+  CheckLeavingAfterFaults(record, found);
+  CheckServing(record, found);
   CheckStops(record, found);
   return found;
 }
--- a/tests/platform/soak/soak_checks_test.cc
+++ b/tests/platform/soak/soak_checks_test.cc
@@ -89,12 +89,61 @@
 }
 
 TEST(soak_checks, FindsLateWorkOnALeavingEndpoint) {
-  record.leaving = {{0, start, start + milliseconds(1900)}};
+  record.leaving = {{0, start, start + milliseconds(1900), {}}};
   LONGS_EQUAL(0, Violations());
   record.leaving[0].last_arrival = start + milliseconds(2300);
   LONGS_EQUAL(1, Violations());
 }
 
+// The store comes back 3 s before the VM is in touch again, and the state is in
+// force 2 s later.
+TEST(soak_checks, FindsAStateThatIsMissingAfterARestore) {
+  call_record call = MakeCall(404, 0);
+  call.state_version = 4;
+  record.calls = {call};
+  record.states = {{4, call.sent_at - seconds(7)}};
+  record.faults = {{soak_fault::kStoreRestored, std::nullopt,
+                    call.sent_at - seconds(6),
+                    call.sent_at - milliseconds(5100)}};
+  LONGS_EQUAL(0, Violations());
+  record.faults[0].to = call.sent_at - milliseconds(5400);
+  LONGS_EQUAL(1, Violations());
+  record.states[0].accepted_at = call.sent_at - seconds(2);
+  LONGS_EQUAL(0, Violations());
+}
+
+// A VM that has seen an endpoint leave may not use it while the store lists it
+// again.
+TEST(soak_checks, FindsLateWorkOnAnEndpointThatARestoreListsAgain) {
+  record.leaving = {{0, start, std::nullopt, {start + milliseconds(2100)}}};
+  record.faults = {{soak_fault::kStoreRestored, std::nullopt,
+                    start + seconds(3), start + seconds(4)}};
+  LONGS_EQUAL(0, Violations());
+  record.leaving[0].arrivals.push_back(start + milliseconds(4500));
+  LONGS_EQUAL(1, Violations());
+  record.faults[0].from = start + seconds(1);
+  LONGS_EQUAL(0, Violations());
+  record.leaving[0].arrivals.push_back(start + milliseconds(9500));
+  LONGS_EQUAL(1, Violations());
+}
+
+TEST(soak_checks, FindsAnEndpointThatIsNotUsedAgainAfterARestore) {
+  record.serving = {{0, start, {start + seconds(1)}}};
+  record.faults = {{soak_fault::kStoreRestored, std::nullopt,
+                    start + seconds(2), start + seconds(3)}};
+  record.pressed_from = start + milliseconds(7900);
+  record.stopped_at = start + milliseconds(11900);
+  LONGS_EQUAL(0, Violations());
+  record.stopped_at = start + milliseconds(12100);
+  LONGS_EQUAL(1, Violations());
+  record.pressed_from = start + milliseconds(8200);
+  LONGS_EQUAL(0, Violations());
+  record.stopped_at = start + milliseconds(12300);
+  LONGS_EQUAL(1, Violations());
+  record.serving[0].arrivals.push_back(start + seconds(9));
+  LONGS_EQUAL(0, Violations());
+}
+
 TEST(soak_checks, FindsARequestThatAPlannedStopCuts) {
   call_record call = MakeCall(0, 0);
   call.sent_at = start;
--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -45,6 +45,14 @@
   std::size_t endpoint = 0;
   monotonic_time accepted_at;
   std::optional<monotonic_time> last_arrival;
+  std::vector<monotonic_time> arrivals;  // Until it returned.
+};
+
+// An endpoint that is in service at the end of the run, when callers press.
+struct serving_record {
+  std::size_t endpoint = 0;
+  monotonic_time accepted_at;  // When the store last accepted that it serves.
+  std::vector<monotonic_time> arrivals;
 };
 
 struct soak_record {
@@ -52,6 +60,10 @@
   std::vector<fault_record> faults;
   std::vector<state_record> states;
   std::vector<leaving_record> leaving;
+  std::vector<serving_record> serving;
+  // When callers began to press, if they did, and when all stopped.
+  std::optional<monotonic_time> pressed_from;
+  monotonic_time stopped_at;
 };
 
 }  // namespace papayakeel::platform
