--- a/tests/platform/store_items.cc
+++ b/tests/platform/store_items.cc
@@ -8,14 +8,16 @@
 
 using nlohmann::json;
 
-std::string MakeEndpointItem(int index) {
-  const std::string entry = MakeEndpointValue({index});
-  std::string text(boost::beast::detail::base64::encoded_size(entry.size()),
+std::string MakeItem(const std::string& key, const std::string& value) {
+  std::string text(boost::beast::detail::base64::encoded_size(value.size()),
                    '\0');
-  text.resize(boost::beast::detail::base64::encode(text.data(), entry.data(),
-                                                   entry.size()));
-  return R"({"key":")" + MakeEndpointKey(index) + R"(","value":")" + text +
-         R"(","revision":2})";
+  text.resize(boost::beast::detail::base64::encode(text.data(), value.data(),
+                                                   value.size()));
+  return R"({"key":")" + key + R"(","value":")" + text + R"(","revision":2})";
+}
+
+std::string MakeEndpointItem(int index) {
+  return MakeItem(MakeEndpointKey(index), MakeEndpointValue({index}));
 }
 
 std::string MakeEndpointKey(int index) {
--- a/tests/platform/store_items.h
+++ b/tests/platform/store_items.h
@@ -8,6 +8,9 @@
 
 namespace papayakeel::platform {
 
+// An item of a listing, as JSON. `key` is written without escapes.
+std::string MakeItem(const std::string& key, const std::string& value);
+
 // An item of a listing, as JSON: endpoint number `index` of the service "s".
 std::string MakeEndpointItem(int index);
 
