--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -68,4 +68,18 @@
   CHECK(NamesEndpoint(page->changes[2], "i-3"));
 }
 
+// Guards against an exception that ends the process, and against a listing that
+// is taken as whole although more follows.
+TEST(odd_entries, OddEndOfPageIsUnreadable) {
+  const store_contract contract = MakeStoreContract();
+  for (const char* const odd : {"1", "null", "\"true\"", "[]", "{}"}) {
+    const std::string page =
+        Replaced(MakePage({MakeEndpointItem(1)}), "false", odd);
+    CHECK_FALSE_TEXT(contract.read_list(200, page).has_value(), odd);
+  }
+  const std::string without_key =
+      Replaced(MakePage({R"({"key":7})"}), "false", "true");
+  CHECK_FALSE(contract.read_list(200, without_key).has_value());
+}
+
 }  // namespace papayakeel::platform
