--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -82,4 +82,16 @@
   CHECK_FALSE(contract.read_list(200, without_key).has_value());
 }
 
+// Guards against ids that add lines to a request or do not fit a datagram.
+TEST(odd_entries, OddIdNamesNoEndpoint) {
+  const std::string entry = MakeEndpointValue({1});
+  CHECK(DecodeEndpoint(std::string(128, 'i'), entry).has_value());
+  for (const std::string& id :
+       {std::string(), std::string("a b"), std::string("a\r\nHost: b"),
+        std::string("a\0", 2), std::string("\xc3\xa9"), std::string("\x7f"),
+        std::string(129, 'i')}) {
+    CHECK_FALSE_TEXT(DecodeEndpoint(id, entry).has_value(), id.c_str());
+  }
+}
+
 }  // namespace papayakeel::platform
