--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -47,6 +47,19 @@
   return entry != nullptr && entry->id == id;
 }
 
+constexpr char kState[] =
+    R"({"version":7,"limits":{"max_header_bytes":16384,"max_body_bytes":6710,)"
+    R"("header_timeout":"3000ms","idle_timeout":"15000ms"},"listeners":[{)"
+    R"("host":"a.example","policy":[{"name":"r","route_kind":"idempotent",)"
+    R"("target_latency":"400ms","priority":2,"match":{"prefix":"/l/"},)"
+    R"("action":{"traffic_split":[{"service":"s1","weight":90}],)"
+    R"("timeout":"1500ms","max_attempts":3}}]}],)"
+    R"("clusters":[{"name":"s1","health_path":"/health","max_conns":220}]})";
+
+bool IsTaken(const std::string& from, const std::string& to) {
+  return DecodeDesiredState(Replaced(kState, from, to)).has_value();
+}
+
 }  // namespace
 
 TEST_GROUP(odd_entries){};
@@ -94,4 +107,34 @@
   }
 }
 
+// Guards against a conversion of numbers that an int does not hold.
+TEST(odd_entries, OddSlotsNameNoEndpoint) {
+  const std::string entry = MakeEndpointValue({1});
+  for (const char* const slots :
+       {"1e300", "-1e300", "4294967298", "3000000000", "10001", "0.5", "1.5"}) {
+    CHECK_FALSE_TEXT(
+        DecodeEndpoint("i-1", Replaced(entry, "\"slots\":2",
+                                       std::string("\"slots\":") + slots))
+            .has_value(),
+        slots);
+  }
+}
+
+// Guards against a desired state whose numbers are changed by a conversion.
+TEST(odd_entries, DesiredStateWithOddNumbersIsNotTaken) {
+  CHECK(IsTaken("\"priority\":2", "\"priority\":2"));
+  for (const char* const number : {"1e300", "-1e300", "4294967297", "0.5"}) {
+    const std::string text = number;
+    CHECK_FALSE_TEXT(IsTaken("\"priority\":2", "\"priority\":" + text), number);
+    CHECK_FALSE_TEXT(IsTaken("\"max_attempts\":3", "\"max_attempts\":" + text),
+                     number);
+    CHECK_FALSE_TEXT(IsTaken("\"max_conns\":220", "\"max_conns\":" + text),
+                     number);
+    CHECK_FALSE_TEXT(IsTaken("16384", text), number);
+  }
+  CHECK_FALSE(IsTaken("\"weight\":90", "\"weight\":1e300"));
+  CHECK_FALSE(IsTaken("\"weight\":90", "\"weight\":-1"));
+  CHECK_FALSE(IsTaken("6710", "18446744073709551615"));
+}
+
 }  // namespace papayakeel::platform
