Use no endpoint at an address that cannot be connected to

A host that is no IP address made each attempt at its endpoint fail, while the endpoint counted as one to choose. So did the unspecified and multicast addresses, the first of which reaches the VM itself.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -120,6 +120,21 @@
   }
 }
 
+// Guards against attempts at an address that no connection can reach.
+TEST(odd_entries, OddAddressNamesNoEndpoint) {
+  const std::string entry = MakeEndpointValue({1});
+  for (const char* const address :
+       {"10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.256:80",
+        "name:80", "0.0.0.0:80", "224.0.0.1:80", "[::]:80"}) {
+    CHECK_FALSE_TEXT(
+        DecodeEndpoint("i-1", Replaced(entry, "10.0.0.1:8001", address))
+            .has_value(),
+        address);
+  }
+  CHECK(DecodeEndpoint("i-1", Replaced(entry, "10.0.0.1:8001", "[fd00::1]:80"))
+            .has_value());
+}
+
 // Guards against a desired state whose numbers are changed by a conversion.
 TEST(odd_entries, DesiredStateWithOddNumbersIsNotTaken) {
   CHECK(IsTaken("\"priority\":2", "\"priority\":2"));
