Take no desired state whose lists are of another type

A desired state with `"listeners":null` or `{}` was read as one without routes and put in force: every caller got 404.

odd_entries.DesiredStateWithoutListsIsNotTaken on the old code: "Message: listeners CHECK_FALSE(IsTaken(...)) failed".

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -152,4 +152,17 @@
   CHECK_FALSE(IsTaken("6710", "18446744073709551615"));
 }
 
+// Guards against a desired state without routes that is put in force.
+TEST(odd_entries, DesiredStateWithoutListsIsNotTaken) {
+  for (const std::string& member :
+       {std::string("listeners"), std::string("policy"),
+        std::string("clusters")}) {
+    for (const char* const odd : {"null", "{}"}) {
+      CHECK_FALSE_TEXT(IsTaken('"' + member + "\":",
+                               '"' + member + "\":" + odd + ",\"other\":"),
+                       member.c_str());
+    }
+  }
+}
+
 }  // namespace papayakeel::platform
