Refuse a follower's watch with a wait that no time holds

A relay read `after` and `wait_ms` as doubles and converted them unchecked, which is undefined beyond 64 bits and overflows the time of the wait.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -165,4 +165,17 @@
   }
 }
 
+// Guards against the wait of a follower's watch that overflows its time.
+TEST(odd_entries, OddWatchesAreRefused) {
+  const store_contract contract = MakeStoreContract();
+  const std::string start = "/-/kv-watch?prefix=&after=";
+  CHECK(contract.parse_request(start + "18446744073709551615&wait_ms=600")
+            .has_value());
+  for (const char* const rest :
+       {"1&wait_ms=1e30", "1&wait_ms=18446744073709551615", "1e30&wait_ms=600",
+        "-1&wait_ms=600", "1&wait_ms=", "&wait_ms=600"}) {
+    CHECK_FALSE_TEXT(contract.parse_request(start + rest).has_value(), rest);
+  }
+}
+
 }  // namespace papayakeel::platform
