Test that any one odd entry of the store leaves the others

Property tests replace one member, at any depth, of an entry, an item, a page or a desired state by odd JSON: other types, numbers that no field holds, long texts, 100,000 nested levels. No exception may leave the parsers, the entries beside it hold, an endpoint that is named has values to use, and followers of a relay read the same.

--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -5,6 +5,9 @@
 #include <variant>
 #include <vector>
 
+#include <rapidcheck.h>
+#include <nlohmann/json.hpp>
+
 #include "platform/entry_codec.h"
 #include "platform/platform_contracts.h"
 #include "tests/platform/store_items.h"
@@ -14,6 +17,10 @@
 namespace papayakeel::platform {
 namespace {
 
+using nlohmann::json;
+
+constexpr char kPlaceholder[] = "@odd@";
+
 constexpr std::size_t kDeepNesting = 100'000;
 
 std::string Nested(std::size_t depth, const char* open, const char* close) {
@@ -47,6 +54,65 @@
   return entry != nullptr && entry->id == id;
 }
 
+// JSON of any type and size, and numbers that no field can hold.
+std::string OddJson() {
+  const std::vector<std::string> samples = {
+      "null",
+      "true",
+      "0",
+      "-1",
+      "0.5",
+      "1e300",
+      "-1e300",
+      "4294967297",
+      "18446744073709551615",
+      "99999999999999999999",
+      R"("")",
+      R"("%%")",
+      R"("10.0.0.1:65536")",
+      R"("10.0.0.1:0")",
+      R"("0.0.0.0:80")",
+      R"("name:80")",
+      R"("servers/")",
+      R"("servers/a b")",
+      R"("servers/a\r\nHost: b")",
+      R"("servers/\u0000")",
+      R"("9e99s")",
+      '"' + std::string(100'000, 'x') + '"',
+      "[]",
+      "{}",
+      Nested(3, "[", "]"),
+      Nested(kDeepNesting, "[", "]"),
+      Nested(kDeepNesting, R"({"a":)", "}"),
+  };
+  return *rc::gen::elementOf(samples);
+}
+
+// Replaces one member of the JSON text, at any depth, by odd JSON.
+std::string MakeOdd(const std::string& text) {
+  json document = json::parse(text);
+  std::vector<std::string> paths;
+  const json leaves = document.flatten();
+  for (const auto& leaf : leaves.items())
+    paths.push_back(leaf.key());
+  json::json_pointer path(*rc::gen::elementOf(paths));
+  for (int up = *rc::gen::inRange(0, 4); up > 0; --up)
+    path = path.parent_pointer();
+  document[path] = kPlaceholder;
+  return Replaced(document.dump(), json(kPlaceholder).dump(), OddJson());
+}
+
+void AssertUsable(const endpoint_entry& entry) {
+  RC_ASSERT(!entry.id.empty());
+  RC_ASSERT(entry.id.size() <= 128U);
+  for (const char each : entry.id)
+    RC_ASSERT(each > ' ' && each < 0x7f);
+  RC_ASSERT(entry.slots >= 1);
+  RC_ASSERT(entry.slots <= 10'000);
+  RC_ASSERT(entry.address.host == "10.0.0.1");
+  RC_ASSERT(entry.address.port != 0);
+}
+
 constexpr char kState[] =
     R"({"version":7,"limits":{"max_header_bytes":16384,"max_body_bytes":6710,)"
     R"("header_timeout":"3000ms","idle_timeout":"15000ms"},"listeners":[{)"
@@ -178,4 +244,51 @@
   }
 }
 
+// Guards against any one entry that ends the process, hides the others, names
+// an absurd endpoint, or is read differently by the followers of a relay.
+TEST(odd_entries, AnyOddEntryLeavesTheOthers) {
+  const store_contract contract = MakeStoreContract();
+  CHECK(rc::check("one odd entry", [&contract] {
+    const bool is_odd_value = *rc::gen::arbitrary<bool>();
+    const std::string item =
+        is_odd_value ? MakeItem("servers/i-2", MakeOdd(MakeEndpointValue({2})))
+                     : MakeOdd(MakeEndpointItem(2));
+    const store_page_result page = contract.read_list(
+        200, MakePage({MakeEndpointItem(1), item, MakeEndpointItem(3)}));
+    RC_ASSERT(page.has_value());
+    RC_ASSERT(page->changes.size() >= 2U);
+    RC_ASSERT(page->changes.size() <= 3U);
+    RC_ASSERT(NamesEndpoint(page->changes.front(), "i-1"));
+    RC_ASSERT(NamesEndpoint(page->changes.back(), "i-3"));
+    std::vector<std::string> originals;
+    for (const store_change& change : page->changes) {
+      if (const auto* entry = std::get_if<endpoint_entry>(&change.value))
+        AssertUsable(*entry);
+      originals.push_back(change.original);
+    }
+    const store_page_result relayed = contract.read_list(
+        200, contract.write_answer(store_request{}, originals, 9));
+    RC_ASSERT(relayed.has_value());
+    RC_ASSERT(relayed->changes.size() == page->changes.size());
+    for (std::size_t index = 0; index < page->changes.size(); ++index) {
+      RC_ASSERT(relayed->changes[index].key == page->changes[index].key);
+      RC_ASSERT(relayed->changes[index].revision ==
+                page->changes[index].revision);
+      RC_ASSERT(relayed->changes[index].value.index() ==
+                page->changes[index].value.index());
+    }
+  }));
+}
+
+// Guards against a page or a desired state that ends the process.
+TEST(odd_entries, AnyOddPageOrStateIsReadWithoutException) {
+  const store_contract contract = MakeStoreContract();
+  CHECK(rc::check("odd page", [&contract] {
+    const std::string page = MakeOdd(MakePage({MakeEndpointItem(1)}));
+    contract.read_list(200, page);
+    contract.read_watch(200, page);
+  }));
+  CHECK(rc::check("odd state", [] { DecodeDesiredState(MakeOdd(kState)); }));
+}
+
 }  // namespace papayakeel::platform
