--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -79,6 +79,8 @@
 
 # A short soak of real processes; longer ones are run by hand (docs/platform.md).
 run_command build/papayakeel_fault_soak --seed 1 --seconds 10
+# A seed whose faults include a store that comes back from an older copy.
+run_command build/papayakeel_fault_soak --seed 154 --seconds 2
 
 # Logs of long runs are cut, so failures are named once more at the end.
 for name in "${failures_found[@]}"; do echo "failed: $name"; done
