--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -18,23 +18,29 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr char kRefusalStart[] =
-    "HTTP/1.1 503 Service Unavailable\r\nPapayakeel-Not-Executed: 1\r\n";
+const header_names& Names() {
+  static const caller_contract contract = platform::MakeCallerContract();
+  return contract.headers;
+}
+
+std::string RefusalStart() {
+  return "HTTP/1.1 503 Service Unavailable\r\n" + Names().not_run + ": 1\r\n";
+}
 
 // The endpoint's refusal of the request `id`; empty: without an id.
 std::string Refusal(const std::string& id) {
   const std::string id_line =
-      id.empty() ? "" : "Papayakeel-Request-Id: " + id + "\r\n";
-  return kRefusalStart + id_line + "Content-Length: 0\r\n\r\n";
+      id.empty() ? "" : Names().request_id + ": " + id + "\r\n";
+  return RefusalStart() + id_line + "Content-Length: 0\r\n\r\n";
 }
 
 std::string Answer(const std::string& id) {
-  return "HTTP/1.1 200 OK\r\nPapayakeel-Request-Id: " + id +
-         "\r\nPapayakeel-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+  return "HTTP/1.1 200 OK\r\n" + Names().request_id + ": " + id + "\r\n" +
+         Names().answer_proof + ": s\r\nContent-Length: 2\r\n\r\nok";
 }
 
 std::string IdOf(const std::string& header) {
-  const std::string name = "Papayakeel-Request-Id: ";
+  const std::string name = Names().request_id + ": ";
   const std::size_t found = header.find(name);
   if (found == std::string::npos)
     return "";
@@ -157,12 +163,11 @@
 TEST(endpoint_link, AnswerWithAnIdIsNotThatOfAStatusCheck) {
   Serve([](std::size_t, std::size_t request, const std::string& header) {
     if (request == 1) {
-      return server_script{
-          Answer("r1") +
-              "HTTP/1.1 200 OK\r\nPapayakeel-Server-Load: 1,0,8\r\n"
-              "Content-Length: 0\r\n\r\n",
-          "",
-          {}};
+      return server_script{Answer("r1") + "HTTP/1.1 200 OK\r\n" +
+                               Names().endpoint_load +
+                               ": 1,0,8\r\nContent-Length: 0\r\n\r\n",
+                           "",
+                           {}};
     }
     return server_script{Answer(IdOf(header)), "", {}};
   });
@@ -178,10 +183,11 @@
 TEST(endpoint_link, BrokenOffRefusalIsNotJoinedToTheAnswer) {
   Serve([](std::size_t, std::size_t request, const std::string& header) {
     const std::string answer = Answer(IdOf(header));
-    return server_script{
-        request == 0 ? answer : std::string(kRefusalStart) + "X-Cut: " + answer,
-        "",
-        {}};
+    return server_script{request == 0
+                             ? answer
+                             : std::string(RefusalStart()) + "X-Cut: " + answer,
+                         "",
+                         {}};
   });
   STRCMP_EQUAL("answered", OutcomeOf("r1").c_str());
   STRCMP_EQUAL("broken", OutcomeOf("r2").c_str());
@@ -190,7 +196,7 @@
 // Guards against a refusal that broke off and counts as whole.
 TEST(endpoint_link, RefusalWithoutItsWholeBodyIsBroken) {
   Serve([](std::size_t, std::size_t, const std::string& header) {
-    return server_script{std::string(kRefusalStart) +
+    return server_script{std::string(RefusalStart()) +
                              "Papayakeel-Request-Id: " + IdOf(header) +
                              "\r\nContent-Length: 9\r\n\r\ncut",
                          "",
--- a/tests/modules/state_feed/feed_process.cc
+++ b/tests/modules/state_feed/feed_process.cc
@@ -13,6 +13,10 @@
 
 namespace papayakeel {
 
+bool IsList(const std::string& target) {
+  return !platform::MakeStoreContract().parse_request(target)->is_watch;
+}
+
 feed_process::feed_process() {
   registry_.Register(std::make_unique<event_loop>());
   loop_ = registry_.Find<event_loop>(event_loop::kName);
--- a/tests/modules/state_feed/feed_process.h
+++ b/tests/modules/state_feed/feed_process.h
@@ -2,6 +2,8 @@
 #ifndef TESTS_MODULES_STATE_FEED_FEED_PROCESS_H_
 #define TESTS_MODULES_STATE_FEED_FEED_PROCESS_H_
 
+#include <string>
+
 #include <boost/asio/io_context.hpp>
 
 #include "core/network_address.h"
@@ -12,6 +14,9 @@
 
 class event_loop;
 
+// Whether `target` is that of a call to the store for a listing.
+bool IsList(const std::string& target);
+
 class feed_process {
  public:
   feed_process();
--- a/tests/modules/state_feed/restored_store_test.cc
+++ b/tests/modules/state_feed/restored_store_test.cc
@@ -308,7 +308,7 @@
   vm.store.SetPageSize(5);
   int listings = 0;
   vm.store.SetCallHook([&](const std::string& target) {
-    if (target.find("kv-range") == std::string::npos || ++listings != 2)
+    if (!IsList(target) || ++listings != 2)
       return;
     vm.store.Restore(copy);
     PutState(vm.store, 9);
@@ -450,7 +450,7 @@
   vm.store.Restore(copy);
   PutState(vm.store, 8);
   vm.store.SetCallHook([&](const std::string& target) {
-    if (target.find("kv-watch") == std::string::npos || !is_second_due)
+    if (IsList(target) || !is_second_due)
       return;
     is_second_due = false;
     vm.store.Restore(copy);
@@ -503,13 +503,13 @@
   for (int number = 0; number < kFleetSize; ++number)
     members.push_back(MakeMember(number, 100));
   store.SetCallHook([&](const std::string& target) {
-    if (target.find("kv-range") != std::string::npos)
+    if (IsList(target))
       directory->SetMembers(members);
   });
   int later_pages = 0;
   relay.SetCallHook([&later_pages](const std::string& target) {
-    const bool is_later_page = target.find("kv-range") != std::string::npos &&
-                               target.find("after=") != std::string::npos;
+    const bool is_later_page =
+        IsList(target) && target.find("after=") != std::string::npos;
     later_pages += is_later_page ? 1 : 0;
   });
   store.CutConnections();
--- a/tests/modules/state_feed/state_feed_test.cc
+++ b/tests/modules/state_feed/state_feed_test.cc
@@ -65,10 +65,6 @@
   return response;
 }
 
-bool IsList(const std::string& target) {
-  return !platform::MakeStoreContract().parse_request(target)->is_watch;
-}
-
 }  // namespace
 
 TEST_GROUP(state_feed){
