--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -183,11 +183,8 @@
 TEST(endpoint_link, BrokenOffRefusalIsNotJoinedToTheAnswer) {
   Serve([](std::size_t, std::size_t request, const std::string& header) {
     const std::string answer = Answer(IdOf(header));
-    return server_script{request == 0
-                             ? answer
-                             : std::string(RefusalStart()) + "X-Cut: " + answer,
-                         "",
-                         {}};
+    return server_script{
+        request == 0 ? answer : RefusalStart() + "X-Cut: " + answer, "", {}};
   });
   STRCMP_EQUAL("answered", OutcomeOf("r1").c_str());
   STRCMP_EQUAL("broken", OutcomeOf("r2").c_str());
@@ -196,9 +193,8 @@
 // Guards against a refusal that broke off and counts as whole.
 TEST(endpoint_link, RefusalWithoutItsWholeBodyIsBroken) {
   Serve([](std::size_t, std::size_t, const std::string& header) {
-    return server_script{std::string(RefusalStart()) +
-                             "Papayakeel-Request-Id: " + IdOf(header) +
-                             "\r\nContent-Length: 9\r\n\r\ncut",
+    return server_script{RefusalStart() + "Papayakeel-Request-Id: " +
+                             IdOf(header) + "\r\nContent-Length: 9\r\n\r\ncut",
                          "",
                          {}};
   });
