Let no expired watch of the stand-in store run after its end

The handler of a watch's timer that had expired was still queued when the store was destroyed, and used it.

store_stand_in.EndsWhileAWatchExpires printed before, sanitized: "AddressSanitizer: heap-use-after-free". The handler now holds a token that expires with the store.

--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -103,8 +103,9 @@
   watch.timer = std::make_unique<boost::asio::steady_timer>(
       context_, std::chrono::milliseconds(QueryNumber(target, "wait_ms")));
   watch.timer->async_wait(
-      [this, number](const boost::system::error_code& error) {
-        if (!error)
+      [this, number, lifetime = std::weak_ptr<const bool>(lifetime_)](
+          const boost::system::error_code& error) {
+        if (!error && !lifetime.expired())
           AnswerWatch(number);
       });
 }
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -97,6 +97,9 @@
   std::map<std::uint64_t, waiting_watch> watches_;
   std::uint64_t next_watch_ = 1;
   std::vector<http_exchange> silenced_;  // Calls that get no answer.
+  // Expires with the store, because the handler of an expired timer can also
+  // run after the store was destroyed.
+  std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
   std::unique_ptr<http_listener> listener_;
 };
 
