--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -19,8 +19,8 @@
 using std::chrono::seconds;
 
 const header_names& Names() {
-  static const caller_contract contract = platform::MakeCallerContract();
-  return contract.headers;
+  static const caller_contract kContract = platform::MakeCallerContract();
+  return kContract.headers;
 }
 
 std::string RefusalStart() {
--- a/tests/modules/http/http_fetch_test.cc
+++ b/tests/modules/http/http_fetch_test.cc
@@ -78,12 +78,13 @@
 TEST(http_fetch, ReadsAnswersOfEveryFraming) {
   const std::string body(300 << 10, 'b');
   const std::string start = "HTTP/1.1 200 OK\r\n";
-  for (const std::string& bytes :
-       {start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-            body,
-        start + "Transfer-Encoding: chunked\r\n\r\n10\r\n" +
-            body.substr(0, 16) + "\r\n4aff0;x=y\r\n" + body.substr(16) +
-            "\r\n0\r\nX-Trailer: t\r\n\r\n"}) {
+  const std::string with_length =
+      start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+      body;
+  const std::string chunked =
+      start + "Transfer-Encoding: chunked\r\n\r\n10\r\n" + body.substr(0, 16) +
+      "\r\n4aff0;x=y\r\n" + body.substr(16) + "\r\n0\r\nX-Trailer: t\r\n\r\n";
+  for (const std::string& bytes : {with_length, chunked}) {
     const fetch_result result = FetchFrom({bytes, "", {}});
     CHECK(result.has_value());
     LONGS_EQUAL(body.size(), result->body().size());
--- a/tests/platform/process/platform_path_test.cc
+++ b/tests/platform/process/platform_path_test.cc
@@ -323,13 +323,16 @@
   send("GET /look/1",
        "Papayakeel-Request-Id: refused-5\r\nHost: a.example\r\n"
        "Papayakeel-Deadline-Ms: soon\r\n");
+  const std::string header_limit =
+      "request=refused-3 status=431 reason=header_limit "
+      "detail=\"limit 16384 bytes\" ";
+  const std::string body_limit =
+      "request=refused-4 status=413 reason=body_limit "
+      "detail=\"limit 1048576 bytes\" ";
   const std::vector<std::string> expected = {
       "request=refused-1 status=404 reason=no_route detail=a.example/none/1 ",
       "request=refused-2 status=400 reason=malformed detail=host ",
-      "request=refused-3 status=431 reason=header_limit "
-      "detail=\"limit 16384 bytes\" ",
-      "request=refused-4 status=413 reason=body_limit "
-      "detail=\"limit 1048576 bytes\" ",
+      header_limit, body_limit,
       "request=refused-5 status=400 reason=bad_deadline detail=soon "};
   for (const std::string& each : expected) {
     std::string line;
