Refuse what cannot end within the grace period of a planned stop

Cause: a VM that was told to stop passed requests on until its process ended, on connections that it took for 0.6 of the grace period and on those that callers held open.

Change: servers/scheduling/shutdown_policy decides, without a network, which requests a stopping VM still passes on: those whose time limit ends within the grace. Others are refused at once as not run, with Retry-After 0, whether they arrive, wait for a slot or would be sent again.

--- a/main/daemon/entry_daemon.cc
+++ b/main/daemon/entry_daemon.cc
@@ -33,13 +33,6 @@
 // ended.
 constexpr std::chrono::milliseconds kDrainPollInterval{50};
 
-// A draining process accepts connections for this fraction of its grace period,
-// because callers may still use cached addresses.
-constexpr double kAcceptGraceFraction = 0.6;
-
-// The process exits this long before the end of the grace period.
-constexpr time_span kExitMargin = std::chrono::milliseconds(300);
-
 // Settings, in particular the addresses of other entry VMs, can change without
 // a signal.
 constexpr time_span kReloadInterval = std::chrono::seconds(1);
@@ -80,7 +73,9 @@
 }  // namespace
 
 entry_daemon::entry_daemon(entry_settings settings, entry_platform platform)
-    : settings_(std::move(settings)), platform_(std::move(platform)) {}
+    : settings_(std::move(settings)),
+      platform_(std::move(platform)),
+      shutdown_(settings_.shutdown_grace) {}
 
 entry_daemon::~entry_daemon() = default;
 
@@ -218,30 +213,36 @@
 
 void entry_daemon::BeginShutdown() {
   Log(log_level::kInfo, "leaving");
-  registry_.Find<entry_gateway>(entry_gateway::kName)->BeginDrain();
+  shutdown_.Begin(event_loop::Now());
+  registry_.Find<entry_gateway>(entry_gateway::kName)
+      ->BeginDrain([this](monotonic_time deadline) {
+        return shutdown_.MayPassOn(deadline);
+      });
   registry_.Find<entry_directory>(entry_directory::kName)
       ->UpdateSelf([](member& self) { self.state = member_state::kLeaving; });
   drain_timer_.emplace(loop_->context());
-  drain_start_ = event_loop::Now();
   CheckDrained();
 }
 
 void entry_daemon::CheckDrained() {
   entry_gateway* gateway = registry_.Find<entry_gateway>(entry_gateway::kName);
-  const time_span elapsed = event_loop::Now() - drain_start_;
-  if (!has_stopped_accepting_ &&
-      elapsed >= std::chrono::duration_cast<time_span>(
-                     settings_.shutdown_grace * kAcceptGraceFraction)) {
+  const monotonic_time now = event_loop::Now();
+  if (!has_stopped_accepting_ && shutdown_.ShouldStopAccepting(now)) {
     has_stopped_accepting_ = true;
     gateway->StopAccepting();
   }
   if (has_stopped_accepting_ && gateway->IsIdle())
     return loop_->Quit();
-  if (elapsed >= settings_.shutdown_grace - kExitMargin) {
-    Log(log_level::kWarning, "grace_period_over");
-    exit_status_ = 1;
-    return loop_->Quit();
+  if (shutdown_.MustAnswerAll(now)) {
+    const std::size_t running = gateway->AnswerAll();
+    if (running > 0) {
+      Log(log_level::kWarning, "grace_period_over",
+          {{"requests", std::to_string(running)}});
+      exit_status_ = 1;
+    }
   }
+  if (shutdown_.MustExit(now))
+    return loop_->Quit();
   drain_timer_->expires_after(kDrainPollInterval);
   drain_timer_->async_wait([this](const boost::system::error_code& error) {
     if (!error)
--- a/main/daemon/entry_daemon.h
+++ b/main/daemon/entry_daemon.h
@@ -15,6 +15,7 @@
 #include "modules/entry_gateway/caller_contract.h"
 #include "modules/state_feed/store_contract.h"
 #include "servers/membership/member.h"
+#include "servers/scheduling/shutdown_policy.h"
 #include "servers/settings/entry_settings.h"
 #include "servers/settings/process_settings.h"
 
@@ -55,7 +56,7 @@
   event_loop* loop_ = nullptr;
   std::optional<boost::asio::steady_timer> drain_timer_;
   std::optional<boost::asio::steady_timer> reload_timer_;
-  monotonic_time drain_start_;
+  shutdown_policy shutdown_;
   std::map<network_address, member_state> logged_members_;
   bool has_stopped_accepting_ = false;
   int exit_status_ = 0;
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -39,6 +39,9 @@
 // Retry-After while no desired state is known.
 constexpr time_span kNotReadyRetryAfter = std::chrono::milliseconds(500);
 
+// Another entry VM can serve the request at once.
+constexpr time_span kStoppingRetryAfter{0};
+
 // Upper limit for the remaining time that a caller states in a request header.
 constexpr std::int64_t kMaxCallerTimeoutMs = 600'000;
 
@@ -106,9 +109,11 @@
   services_.endpoints = registry_.Find<endpoint_link>(endpoint_link::kName);
   services_.headers = &contract_.headers;
   services_.availability_zone = settings_.availability_zone;
-  services_.ended = [this](request_outcome end, repeat_rule repeat,
-                           time_span elapsed, std::size_t body_bytes) {
-    --running_;
+  services_.may_pass_on = [](monotonic_time) { return true; };
+  services_.ended = [this](request_run& run, request_outcome end,
+                           repeat_rule repeat, time_span elapsed,
+                           std::size_t body_bytes) {
+    runs_.erase(&run);
     host_.release(body_bytes);
     ++outcome_counts_[ToString(end)];
     durations_
@@ -336,9 +341,14 @@
         request, http::status::bad_request, "bad_deadline",
         std::string(deadline.substr(0, kMaxLoggedBytes)), std::nullopt);
   }
-  ++running_;
-  std::make_shared<request_run>(services_, std::move(request), std::move(*plan))
-      ->Start();
+  if (!services_.may_pass_on(plan->deadline)) {
+    return RespondImmediately(request, http::status::service_unavailable,
+                              "stopping", "", kStoppingRetryAfter);
+  }
+  const std::shared_ptr<request_run> run = std::make_shared<request_run>(
+      services_, std::move(request), std::move(*plan));
+  runs_.insert(run.get());
+  run->Start();
 }
 
 std::vector<network_address> entry_gateway::AddressesFor(
@@ -373,10 +383,29 @@
   return response;
 }
 
-void entry_gateway::BeginDrain() {
+void entry_gateway::BeginDrain(
+    std::function<bool(monotonic_time deadline)> may_pass_on) {
   is_draining_ = true;
+  services_.may_pass_on = std::move(may_pass_on);
   for (caller_session* each : sessions_)
     each->Drain(false);
+  for (const std::shared_ptr<request_run>& each : Runs())
+    each->OnShutdownBegin();
+}
+
+std::size_t entry_gateway::AnswerAll() {
+  const std::vector<std::shared_ptr<request_run>> runs = Runs();
+  for (const std::shared_ptr<request_run>& each : runs)
+    each->OnShutdownEnd();
+  return runs.size();
+}
+
+std::vector<std::shared_ptr<request_run>> entry_gateway::Runs() const {
+  std::vector<std::shared_ptr<request_run>> runs;
+  runs.reserve(runs_.size());
+  for (request_run* each : runs_)
+    runs.push_back(each->shared_from_this());
+  return runs;
 }
 
 void entry_gateway::StopAccepting() {
@@ -387,7 +416,7 @@
 }
 
 bool entry_gateway::IsIdle() const {
-  return running_ == 0 && sessions_.empty();
+  return runs_.empty() && sessions_.empty();
 }
 
 void entry_gateway::CollectMetrics(metric_sink& sink) const {
@@ -401,7 +430,7 @@
                  {{"reason", reason}}, static_cast<double>(count));
   }
   sink.Gauge("papayakeel_requests_running", "Requests without an answer", {},
-             static_cast<double>(running_));
+             static_cast<double>(runs_.size()));
   sink.Gauge("papayakeel_caller_connections", "Open connections of callers", {},
              static_cast<double>(sessions_.size()));
   sink.Gauge("papayakeel_body_bytes", "Memory held for bodies of requests", {},
@@ -451,7 +480,7 @@
 
 nlohmann::json entry_gateway::DumpState() const {
   return {{"ready", IsReady()},        {"draining", is_draining_},
-          {"running", running_},       {"connections", sessions_.size()},
+          {"running", runs_.size()},   {"connections", sessions_.size()},
           {"body_bytes", body_bytes_}, {"ended", outcome_counts_}};
 }
 
--- a/modules/entry_gateway/entry_gateway.h
+++ b/modules/entry_gateway/entry_gateway.h
@@ -61,10 +61,14 @@
 
   // Fails readiness checks and closes each connection after its last pending
   // response, or after its next response if it is idle. Requests in flight are
-  // completed.
-  void BeginDrain();
+  // completed; requests for which `may_pass_on` is false from now on are
+  // refused as not run.
+  void BeginDrain(std::function<bool(monotonic_time deadline)> may_pass_on);
   // Stops accepting connections and closes idle ones.
   void StopAccepting();
+  // Answers all requests, also those at which endpoints are still working.
+  // Returns how many there were.
+  std::size_t AnswerAll();
   bool IsIdle() const;
 
  private:
@@ -87,6 +91,8 @@
   std::unique_ptr<http_listener> MakeListener(
       const network_address& address,
       std::function<http_response(const http_request&)> answer);
+  // Requests in flight, which may end while the list is used.
+  std::vector<std::shared_ptr<request_run>> Runs() const;
   void CollectMetrics(metric_sink& sink) const;
 
   service_registry& registry_;
@@ -103,7 +109,7 @@
   request_services services_;
   weighted_split split_;
   std::unordered_set<caller_session*> sessions_;
-  std::size_t running_ = 0;     // Requests in flight.
+  std::unordered_set<request_run*> runs_;  // Requests in flight.
   std::size_t body_bytes_ = 0;  // Of requests in flight or being read.
   std::map<std::string, std::uint64_t> outcome_counts_;
   // Requests rejected without being scheduled, by reason.
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -22,6 +22,9 @@
 // before the deadline.
 constexpr time_span kDeadlineRetryAfter = std::chrono::milliseconds(200);
 
+// Another entry VM can serve the request at once.
+constexpr time_span kStoppingRetryAfter{0};
+
 std::string FormatSeconds(time_span span) {
   char text[32];
   std::snprintf(text, sizeof(text), "%.2f", ToMilliseconds(span) / 1000);
@@ -105,6 +108,7 @@
   const bool should_send_attempt =
       !is_ended_ && !is_caller_disconnected_ &&
       event_loop::Now() < plan_.deadline && sent_ < plan_.max_attempts &&
+      services_.may_pass_on(plan_.deadline) &&
       (MayRepeat() || (!may_have_run_ && attempts_.empty()));
   if (!should_send_attempt) {
     services_.slots->Report(number_, grant.attempt, attempt_outcome::kCancelled,
@@ -162,17 +166,37 @@
     default:
       break;
   }
-  const bool can_retry =
-      !result.has_timed_out && !is_rejected_ && (MayRepeat() || !may_have_run_);
-  if (attempts_.empty() && !can_retry)
-    Conclude(kDeadlineRetryAfter, "attempt_failed");
+  const bool is_stopping = !services_.may_pass_on(plan_.deadline);
+  const bool can_retry = !result.has_timed_out && !is_rejected_ &&
+                         !is_stopping && (MayRepeat() || !may_have_run_);
+  if (!attempts_.empty() || can_retry)
+    return;
+  if (is_stopping)
+    return Conclude(kStoppingRetryAfter, "stopping");
+  Conclude(kDeadlineRetryAfter, "attempt_failed");
 }
 
 void request_run::OnRejected(const slot_rejection& rejection) {
   is_rejected_ = true;
   if (is_ended_ || !attempts_.empty())
     return;
-  Conclude(rejection.retry_after, ToString(rejection.reason));
+  Conclude(std::max(rejection.retry_after, kDeadlineRetryAfter),
+           ToString(rejection.reason));
+}
+
+void request_run::OnShutdownBegin() {
+  if (!is_ended_ && attempts_.empty() &&
+      !services_.may_pass_on(plan_.deadline)) {
+    Conclude(kStoppingRetryAfter, "stopping");
+  }
+}
+
+void request_run::OnShutdownEnd() {
+  if (is_ended_)
+    return;
+  may_have_run_ |= !attempts_.empty();
+  CancelAttempts();
+  Conclude(kStoppingRetryAfter, "grace_period_over");
 }
 
 void request_run::OnDeadline() {
@@ -202,8 +226,7 @@
   }
   http_response refusal =
       MakeLocalResponse(http::status::service_unavailable, reason);
-  refusal.set(http::field::retry_after,
-              FormatSeconds(std::max(retry_after, kDeadlineRetryAfter)));
+  refusal.set(http::field::retry_after, FormatSeconds(retry_after));
   Answer(std::move(refusal), request_outcome::kRefused, reason);
 }
 
@@ -267,8 +290,8 @@
   timer_.cancel();
   CancelAttempts();
   services_.slots->End(number_);
-  services_.ended(end, plan_.repeat, event_loop::Now() - request_.arrival,
-                  body_->size());
+  services_.ended(*this, end, plan_.repeat,
+                  event_loop::Now() - request_.arrival, body_->size());
 }
 
 void request_run::CancelAttempts() {
--- a/modules/entry_gateway/request_run.h
+++ b/modules/entry_gateway/request_run.h
@@ -45,14 +45,20 @@
   std::uint64_t state_version = 0;
 };
 
+class request_run;
+
 struct request_services {
   boost::asio::io_context* context = nullptr;
   slot_link* slots = nullptr;
   endpoint_link* endpoints = nullptr;
   const header_names* headers = nullptr;
   std::string availability_zone;
+  // Whether a request whose caller waits until `deadline` may still be sent to
+  // an endpoint.
+  std::function<bool(monotonic_time deadline)> may_pass_on;
   // Called once when the request ends, with the size of its body.
-  std::function<void(request_outcome end,
+  std::function<void(request_run& run,
+                     request_outcome end,
                      repeat_rule repeat,
                      time_span elapsed,
                      std::size_t body_bytes)>
@@ -67,6 +73,12 @@
 
   void Start();
 
+  // The process begins to stop: refuses the request if it waits and may no
+  // longer be passed on.
+  void OnShutdownBegin();
+  // The process ends: answers the request although its attempts are running.
+  void OnShutdownEnd();
+
  private:
   void OnGranted(const slot_grant& grant);
   void OnRejected(const slot_rejection& rejection);
