Test that answers cut at any byte never count as whole

Cause: another operator reports that an endpoint which stopped in the head of its answer reached callers as a 200 with an empty or short body.

Change: tests only; it cannot happen here.

--- /dev/null
+++ b/tests/modules/http/answer_reader_test.cc
@@ -0,0 +1,107 @@
+// Tests of answers that break off, at every byte.
+#include "modules/http/answer_reader.h"
+
+#include <algorithm>
+#include <cstring>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/error.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+namespace papayakeel {
+
+namespace {
+
+constexpr char kHead[] =
+    "HTTP/1.1 200 OK\r\nX-Proof: seal\r\nX-Long: 0123456789\r\n";
+
+struct whole_answer {
+  const char* name;
+  std::string bytes;
+  // The end of the connection ends the body, so a cut of the body that is no
+  // reset cannot be seen.
+  bool ends_with_connection = false;
+};
+
+std::vector<whole_answer> Answers() {
+  const std::string head = kHead;
+  return {
+      {"length", head + "Content-Length: 5\r\n\r\nhello"},
+      {"no body", head + "Content-Length: 0\r\n\r\n"},
+      {"chunks", head + "Transfer-Encoding: chunked\r\n\r\n"
+                        "2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nX-Trailer: t\r\n\r\n"},
+      {"close", head + "Connection: close\r\n\r\nhello", true},
+  };
+}
+
+// Feeds `bytes` in pieces of `piece` bytes.
+answer_state Feed(answer_reader& reader,
+                  std::string_view bytes,
+                  std::size_t piece) {
+  answer_state state = answer_state::kIncomplete;
+  while (!bytes.empty() && state == answer_state::kIncomplete) {
+    const std::size_t size = std::min(piece, bytes.size());
+    std::memcpy(reader.Prepare().data(), bytes.data(), size);
+    state = reader.Receive({}, size);
+    bytes.remove_prefix(size);
+  }
+  return state;
+}
+
+}  // namespace
+
+TEST_GROUP(answer_reader){};
+
+// Guards against an answer that broke off and counts as whole, wherever it was
+// cut and however it arrived.
+TEST(answer_reader, CutAnswersAreBroken) {
+  const std::vector<boost::system::error_code> ends = {
+      boost::asio::error::eof, boost::asio::error::connection_reset};
+  for (const whole_answer& answer : Answers()) {
+    const std::size_t head_end = answer.bytes.find("\r\n\r\n") + 4;
+    for (std::size_t cut = 0; cut < answer.bytes.size(); ++cut) {
+      for (const std::size_t piece : {std::size_t{1}, answer.bytes.size()}) {
+        for (const boost::system::error_code& end : ends) {
+          answer_reader reader;
+          reader.Start({});
+          const std::string_view sent =
+              std::string_view(answer.bytes).substr(0, cut);
+          const std::string text = std::string(answer.name) + " cut after " +
+                                   std::to_string(cut) + ", " + end.message();
+          CHECK_TRUE_TEXT(
+              Feed(reader, sent, piece) == answer_state::kIncomplete,
+              text.c_str());
+          const bool is_unseen = answer.ends_with_connection &&
+                                 cut >= head_end &&
+                                 end == boost::asio::error::eof;
+          const answer_state state = reader.Receive(end, 0);
+          CHECK_TRUE_TEXT(state == (is_unseen ? answer_state::kComplete
+                                              : answer_state::kBroken),
+                          text.c_str());
+        }
+      }
+    }
+  }
+}
+
+// Guards against an answer that depends on how its bytes arrive.
+TEST(answer_reader, PiecesMakeTheSameAnswer) {
+  for (const whole_answer& answer : Answers()) {
+    for (std::size_t piece = 1; piece <= answer.bytes.size(); ++piece) {
+      answer_reader reader;
+      reader.Start({});
+      answer_state state = Feed(reader, answer.bytes, piece);
+      if (answer.ends_with_connection)
+        state = reader.Receive(boost::asio::error::eof, 0);
+      CHECK_TRUE_TEXT(state == answer_state::kComplete, answer.name);
+      const bool has_body = std::string(answer.name) != "no body";
+      STRCMP_EQUAL(has_body ? "hello" : "", reader.answer().body().c_str());
+      STRCMP_EQUAL("seal", std::string(reader.answer()["X-Proof"]).c_str());
+    }
+  }
+}
+
+}  // namespace papayakeel
--- a/tests/modules/support/scripted_server.cc
+++ b/tests/modules/support/scripted_server.cc
@@ -89,12 +89,24 @@
           connection->is_closed = true;
           return;
         }
+        if (connection->script.end != script_end::kKeepOpen)
+          return End(connection);
         if (connection->script.endless.empty())
           return Read(connection);
         WriteEndlessly(connection);
       });
 }
 
+void scripted_server::End(const connection_pointer& connection) {
+  connection->is_closed = true;
+  boost::system::error_code ignored;
+  if (connection->script.end == script_end::kReset) {
+    connection->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                                  ignored);
+  }
+  connection->socket.close(ignored);
+}
+
 void scripted_server::WriteEndlessly(const connection_pointer& connection) {
   boost::asio::async_write(
       connection->socket, boost::asio::buffer(connection->script.endless),
--- a/tests/modules/support/scripted_server.h
+++ b/tests/modules/support/scripted_server.h
@@ -18,6 +18,13 @@
 
 namespace papayakeel {
 
+// What the server does with the connection once it has written its bytes.
+enum class script_end {
+  kKeepOpen,
+  kClose,
+  kReset,
+};
+
 // What the server writes after a request.
 struct server_script {
   std::string bytes;
@@ -25,6 +32,7 @@
   std::string endless;
   // Pause between two writes of `endless`.
   time_span pause{0};
+  script_end end = script_end::kKeepOpen;
 };
 
 // Names the script for a request, given as its bytes. Connections and the
@@ -65,6 +73,7 @@
   void Read(const connection_pointer& connection);
   void Write(const connection_pointer& connection);
   void WriteEndlessly(const connection_pointer& connection);
+  static void End(const connection_pointer& connection);
 
   boost::asio::io_context& context_;
   script_function script_;
