Let starting VMs complete an outdated listing at relays

Change: the first listing may be outdated, which costs a tenth. It is held back, with position by era and revision, until a watch has returned what it lacks: at a reader, at a seed while few members are known, or after 0.3 s at the store. Any VM whose state the store has just confirmed answers such a watch. In its first 2 s a follower waits for relays that refuse; later it asks the store once after a silent relay and then the next relay. A relay answers nothing before it has a listing. A first listing is one log line.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -71,8 +71,14 @@
 // are cut off from the store, and their followers, must detect it in time.
 constexpr time_span kRelayedWatchWait = std::chrono::milliseconds(600);
 constexpr time_span kRelayTimeout = std::chrono::milliseconds(300);
-// How long failed relays are skipped.
-constexpr time_span kRelaySkipTime = std::chrono::seconds(3);
+// Wait before relays that are not ready yet are asked again, half to one and a
+// half times.
+constexpr time_span kRelayRetryWait = std::chrono::milliseconds(100);
+// How long relays are asked to complete an outdated listing before the store
+// is: the process serves nothing meanwhile.
+constexpr time_span kMaxConfirmationWait = std::chrono::milliseconds(300);
+constexpr time_span kConfirmationTimeout = std::chrono::milliseconds(150);
+constexpr time_span kConfirmationRetryWait = std::chrono::milliseconds(40);
 
 // A page holds at most about 500 items or 1 MB before base64 encoding.
 constexpr std::size_t kMaxAnswerBytes = 8 << 20;
@@ -128,7 +134,7 @@
   fetch_request fetch;
   fetch.server = source_;
   if (IsFollowing())
-    fetch.connect_timeout = kRelayTimeout;
+    fetch.connect_timeout = std::min(kRelayTimeout, timeout);
   fetch.request = http_request(http::verb::get, target, kHttp11);
   fetch.request.set(http::field::host, source_.ToString());
   fetch.timeout = timeout;
@@ -145,10 +151,15 @@
     listing_position_.reset();
     listed_ids_.clear();
     listed_changes_.clear();
+    is_listing_unconfirmed_ = false;
     // All pages come from one source: another may have read less.
     source_ = ChooseSource();
+    listing_kind_ = !has_listing_ && may_list_outdated_ && !IsFollowing()
+                        ? listing_kind::kMayBeOutdated
+                        : listing_kind::kCurrent;
   }
-  Fetch(contract_.list_target(after_key), kListTimeout, &state_feed::OnList);
+  Fetch(contract_.list_target(after_key, listing_kind_), kListTimeout,
+        &state_feed::OnList);
 }
 
 void state_feed::OnList(const fetch_result& answer) {
@@ -162,17 +173,40 @@
   if (IsRelayBehind(as_of))
     return OnFailure("relay_behind");
   OnSuccess();
-  if (listing_position_ && listing_position_->era != as_of.era)
+  if (listing_position_ && listing_position_->era != as_of.era) {
+    may_list_outdated_ = false;
     return List("");
-  // The pages of a listing are not a consistent snapshot. The watch starts at
-  // the revision of the first page and repeats changes made since then.
+  }
+  // The pages of a listing are not a consistent snapshot, and outdated pages
+  // need not be of the same age. The watch starts at the lowest revision of a
+  // page and repeats changes made since then.
   if (!listing_position_) {
     listing_position_ = as_of;
     if (has_listing_ && !Continues(as_of))
       OnStoreRestored(as_of);
   }
-  for (const store_change& change : page->changes) {
-    listed_changes_.push_back(change);
+  listing_position_ = std::min(*listing_position_, as_of);
+  listed_changes_.insert(listed_changes_.end(), page->changes.begin(),
+                         page->changes.end());
+  const bool is_held_back = listing_kind_ == listing_kind::kMayBeOutdated;
+  if (!is_held_back)
+    ApplyListed(page->changes);
+  if (page->has_more && !page->last_key.empty())
+    return List(page->last_key);
+  if (is_held_back) {
+    is_listing_unconfirmed_ = true;
+    relay_confirmation_end_ = event_loop::Now() + kMaxConfirmationWait;
+    position_ = *listing_position_;
+  } else {
+    FinishListing();
+    if (!IsFollowing())
+      relay_->SetConfirmed();
+  }
+  Watch();
+}
+
+void state_feed::ApplyListed(const std::vector<store_change>& changes) {
+  for (const store_change& change : changes) {
     if (const auto* entry = std::get_if<endpoint_entry>(&change.value)) {
       if (IsKnownDeparture(*entry)) {
         Log(log_level::kInfo, "endpoint_outdated",
@@ -184,8 +218,9 @@
     }
     Apply(change);
   }
-  if (page->has_more && !page->last_key.empty())
-    return List(page->last_key);
+}
+
+void state_feed::FinishListing() {
   std::vector<std::string> unlisted_ids;
   for (const endpoint_entry& entry : endpoints_->All()) {
     if (listed_ids_.count(entry.id) == 0)
@@ -211,7 +246,6 @@
          {"revision", std::to_string(position_.revision)}});
   }
   has_listing_ = true;
-  Watch();
 }
 
 bool state_feed::HasJoined() const {
@@ -222,14 +256,26 @@
   return known > 1 && now - members_changed_at_ >= kMinStableTime;
 }
 
+bool state_feed::MayWaitForRelays() const {
+  return event_loop::Now() - started_at_ < kMaxJoinTime;
+}
+
 void state_feed::Watch() {
   has_joined_ = has_joined_ || HasJoined();
-  if (!has_joined_)
+  if (!has_joined_ && !is_listing_unconfirmed_)
     return Schedule(kJoinCheckInterval, [this] { Watch(); });
-  source_ = ChooseSource();
+  source_ = is_listing_unconfirmed_ ? ChooseConfirmingSource() : ChooseSource();
   const bool is_relayed = IsFollowing() || is_reader_;
+  relay_->SetFresh(has_listing_ && is_reader_ && failures_in_row_ == 0);
+  if (is_listing_unconfirmed_) {
+    const time_span no_wait = state_relay::kNoWait;
+    return Fetch(IsFollowing()
+                     ? contract_.relay_watch_target(position_, no_wait)
+                     : contract_.watch_target(position_.revision, no_wait),
+                 IsFollowing() ? kConfirmationTimeout : kWatchAnswerTimeout,
+                 &state_feed::OnWatch);
+  }
   const time_span wait = is_relayed ? kRelayedWatchWait : kWatchWait;
-  relay_->SetFresh(is_reader_ && failures_in_row_ == 0);
   Fetch(IsFollowing() ? contract_.relay_watch_target(position_, wait)
                       : contract_.watch_target(position_.revision, wait),
         wait + (is_relayed ? kRelayTimeout : kWatchAnswerTimeout),
@@ -247,19 +293,34 @@
     Log(log_level::kWarning, "store_history_gone",
         {{"era", std::to_string(position_.era)},
          {"revision", std::to_string(position_.revision)}});
+    if (is_listing_unconfirmed_ && IsFollowing()) {
+      // The store's history is longer.
+      relay_confirmation_end_ = event_loop::Now();
+      return Watch();
+    }
+    may_list_outdated_ = false;
     return List("");
   }
   const store_position as_of = {contract_.read_era(*answer), page->as_of};
   if (IsRelayBehind(as_of))
     return OnFailure("relay_behind");
   OnSuccess();
-  if (!Continues(as_of))
+  if (!Continues(as_of)) {
+    may_list_outdated_ = false;
     return List("");
+  }
+  if (is_listing_unconfirmed_) {
+    is_listing_unconfirmed_ = false;
+    ApplyListed(listed_changes_);
+    FinishListing();
+  }
   for (const store_change& change : page->changes)
     Apply(change);
   position_ = std::max(position_, as_of);
   last_away_at_.reset();
   relay_->AddChanges(page->changes, position_);
+  if (!IsFollowing())
+    relay_->SetConfirmed();
   if (needs_second_listing_) {
     needs_second_listing_ = false;
     return List("");
@@ -304,15 +365,20 @@
          {"away_ms", std::to_string(ToMilliseconds(outage))}});
   }
   failures_in_row_ = 0;
-  last_answer_ = now;
-  last_answer_source_ = source_;
+  relay_failures_ = 0;
+  must_ask_store_ = false;
+  const bool is_confirmation = has_listing_ || is_listing_unconfirmed_ ||
+                               listing_kind_ == listing_kind::kCurrent;
+  if (is_confirmation) {
+    last_answer_ = now;
+    last_answer_source_ = source_;
+  }
 }
 
 std::vector<network_address> state_feed::ChooseRelays() {
   is_reader_ = false;
   const std::vector<member>& members = directory_->members();
-  const bool is_small_fleet = members.size() < kMinRelayedFleetSize;
-  if (is_small_fleet || !has_listing_)
+  if (members.size() < kMinRelayedFleetSize)
     return {};
   std::vector<network_address> relays;
   for (const member& each :
@@ -325,7 +391,8 @@
   }
   // Hashing the VM name distributes the followers over the readers.
   const std::size_t first =
-      std::hash<std::string>()(settings_.vm_name) % relays.size();
+      (std::hash<std::string>()(settings_.vm_name) + relay_rotation_) %
+      relays.size();
   std::rotate(relays.begin(),
               relays.begin() + static_cast<std::ptrdiff_t>(first),
               relays.end());
@@ -333,20 +400,35 @@
 }
 
 network_address state_feed::ChooseSource() {
-  if (relay_failures_ > 0 &&
-      event_loop::Now() - relays_failed_at_ > kRelaySkipTime) {
-    relay_failures_ = 0;
-  }
   const std::vector<network_address> relays = ChooseRelays();
-  return relay_failures_ < relays.size() ? relays[relay_failures_]
-                                         : settings_.store;
+  relay_count_ = relays.size();
+  const bool is_relay_left = relay_failures_ < relays.size();
+  return is_relay_left && !must_ask_store_ ? relays.front() : settings_.store;
+}
+
+network_address state_feed::ChooseConfirmingSource() {
+  if (event_loop::Now() >= relay_confirmation_end_)
+    return settings_.store;
+  if (directory_->members().size() >= kMinRelayedFleetSize)
+    return ChooseSource();
+  is_reader_ = false;
+  std::vector<network_address> seeds;
+  for (const network_address& each : settings_.peer_seeds) {
+    if (each == settings_.peer_listen)
+      return settings_.store;
+    seeds.push_back({each.host, settings_.relay_listen.port});
+  }
+  if (seeds.empty())
+    return settings_.store;
+  return seeds[(std::hash<std::string>()(settings_.vm_name) + relay_rotation_) %
+               seeds.size()];
 }
 
 void state_feed::OnNoAnswer(fetch_error_code error) {
   // A silent relay takes 0.9 s. Asking further relays, which may be silent too,
   // could delay a change by more than 2 s, so the store is asked next.
-  if (IsFollowing() && error == fetch_error_code::kTimedOut)
-    relay_failures_ = kReaderCount;
+  must_ask_store_ = IsFollowing() && error == fetch_error_code::kTimedOut &&
+                    !is_listing_unconfirmed_;
   OnFailure(ToString(error));
   // An unanswered call shows only that the store was away when it was made.
   if (!IsFollowing() && error != fetch_error_code::kBroken)
@@ -358,10 +440,26 @@
     // Fail over to the next relay, or to the store after the last one.
     Log(log_level::kWarning, "relay_lost",
         {{"relay", source_.ToString()}, {"reason", std::string(reason)}});
-    relays_failed_at_ = event_loop::Now();
     ++relay_failures_;
-    Schedule(time_span(0), [this] { Watch(); });
-    return;
+    ++relay_rotation_;
+    if (is_listing_unconfirmed_) {
+      relay_failures_ = 0;
+      return Schedule(JitteredWait(kConfirmationRetryWait),
+                      [this] { Watch(); });
+    }
+    time_span wait{0};
+    const bool have_all_refused = relay_failures_ >= relay_count_;
+    if (have_all_refused && !must_ask_store_ && MayWaitForRelays()) {
+      // The others have only just started, too.
+      relay_failures_ = 0;
+      wait = JitteredWait(kRelayRetryWait);
+    }
+    return Schedule(wait, [this] {
+      if (has_listing_)
+        Watch();
+      else
+        List("");
+    });
   }
   relay_->SetFresh(false);
   if (failures_in_row_ == 0) {
@@ -376,12 +474,13 @@
   const int doublings = std::min(failures_in_row_, 10);
   ++failures_in_row_;
   const time_span wait = std::min(kMinBackoff * (1 << doublings), kMaxBackoff);
-  // Jitter of 0.5 to 1.5 times the wait keeps processes that failed together
-  // from retrying together.
-  const time_span jittered_wait = std::chrono::duration_cast<time_span>(
-      wait * (0.5 + UniformUnit(random_)));
   needs_second_listing_ = true;
-  Schedule(jittered_wait, [this] { List(""); });
+  Schedule(JitteredWait(wait), [this] { List(""); });
+}
+
+time_span state_feed::JitteredWait(time_span wait) {
+  return std::chrono::duration_cast<time_span>(wait *
+                                               (0.5 + UniformUnit(random_)));
 }
 
 void state_feed::Apply(const store_change& change) {
@@ -408,7 +507,10 @@
     departed_.erase(entry->id);
     const endpoint_entry* known = endpoints_->Find(entry->id);
     const bool was_leaving = known != nullptr && known->is_leaving;
-    if (known == nullptr || was_leaving != entry->is_leaving) {
+    // The first listing of a large fleet has too many for a line each.
+    const bool is_news =
+        known == nullptr ? has_listing_ : was_leaving != entry->is_leaving;
+    if (is_news) {
       Log(log_level::kInfo, "endpoint_listed",
           {{"endpoint", entry->id},
            {"service", entry->service},
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -1,6 +1,11 @@
 // Synchronizes the desired state and the list of endpoints from the platform's
 // store: a full listing first, then watches for changes. While the store is
 // down, slow or rejects calls, the last state read stays in force.
+//
+// The first listing may be outdated, because such a listing costs the store a
+// tenth. It is held back until a watch after its position, at a relay or at the
+// store, has returned what it lacks; only then is any of it in force. The relay
+// is a reader, or a seed while too few members are known to name the readers.
 #ifndef MODULES_STATE_FEED_STATE_FEED_H_
 #define MODULES_STATE_FEED_STATE_FEED_H_
 
@@ -81,13 +86,24 @@
   std::vector<network_address> ChooseRelays();
   // Returns the address for the next call: a relay or the store.
   network_address ChooseSource();
+  // As `ChooseSource`, for the call that completes an outdated listing.
+  network_address ChooseConfirmingSource();
   // Whether enough members are known to determine which entry VMs read the
   // store.
   bool HasJoined() const;
+  // Whether a process that has just started should go on asking relays that are
+  // not ready yet, instead of the store.
+  bool MayWaitForRelays() const;
   bool IsFollowing() const { return source_ != settings_.store; }
+  // Puts a listing in force: its changes, page by page, and its end.
+  void ApplyListed(const std::vector<store_change>& changes);
+  void FinishListing();
   void OnSuccess();
   void OnNoAnswer(fetch_error_code error);
   void OnFailure(std::string_view reason);
+  // Half to one and a half times `wait`, which keeps processes that failed
+  // together from retrying together.
+  time_span JitteredWait(time_span wait);
   // Calls `next` after `wait` unless the service is stopped first.
   void Schedule(time_span wait, std::function<void()> next);
   void Apply(const store_change& change);
@@ -139,10 +155,21 @@
   bool needs_second_listing_ = false;
   network_address source_;  // The store or a relay; target of the current call.
   bool is_reader_ = false;  // This process reads the store for others.
-  // Number of consecutive relay failures and the time of the last one.
-  std::size_t relay_failures_ = 0;
-  monotonic_time relays_failed_at_;
+  std::size_t relay_count_ = 0;     // Relays that may be read from.
+  std::size_t relay_failures_ = 0;  // Since the last answer of any source.
+  bool must_ask_store_ = false;     // A relay was silent.
+  // Relay failures since the start: relays that failed are asked last.
+  std::size_t relay_rotation_ = 0;
   std::vector<store_change> listed_changes_;  // Pages read so far.
+  // Of the listing that is being read.
+  listing_kind listing_kind_ = listing_kind::kCurrent;
+  // False once an outdated listing turned out to be of no use.
+  bool may_list_outdated_ = true;
+  // A complete listing is held back until a watch has returned the changes that
+  // it may lack. Only before `has_listing_`.
+  bool is_listing_unconfirmed_ = false;
+  // Until this time relays are asked to complete the listing, then the store.
+  monotonic_time relay_confirmation_end_;
   int failures_in_row_ = 0;
   monotonic_time call_started_at_;
   // The latest time at which the store is known to have been away or out of
--- a/modules/state_feed/state_relay.cc
+++ b/modules/state_feed/state_relay.cc
@@ -14,6 +14,9 @@
 // listing.
 constexpr std::size_t kMaxHistory = 4096;
 
+// No older than the state of a reader may be.
+constexpr time_span kConfirmationAge = std::chrono::milliseconds(800);
+
 constexpr unsigned kHttp11 = 11;
 
 }  // namespace
@@ -56,6 +59,7 @@
   history_.clear();
   history_from_ = as_of.revision;
   as_of_ = as_of;
+  has_listing_ = true;
   AnswerWaiting();
 }
 
@@ -82,13 +86,24 @@
     AnswerWaiting();
 }
 
+void state_relay::SetConfirmed() {
+  confirmed_until_ = event_loop::Now() + kConfirmationAge;
+}
+
+bool state_relay::MayAnswer(const store_request& question) const {
+  if (!has_listing_ || is_fresh_)
+    return has_listing_;
+  return question.is_watch && question.wait <= kNoWait &&
+         event_loop::Now() < confirmed_until_;
+}
+
 void state_relay::Handle(const http_exchange& exchange) {
   const std::optional<store_request> question =
       contract_.parse_request(ToStringView(exchange.request.target()));
   if (!question)
     return exchange.respond(http_response(http::status::not_found, kHttp11));
-  const bool must_wait = question->is_watch && is_fresh_ &&
-                         IsUpToDate(*question) && question->wait > time_span(0);
+  const bool must_wait = question->is_watch && has_listing_ && is_fresh_ &&
+                         IsUpToDate(*question) && question->wait > kNoWait;
   if (!must_wait)
     return Answer(*question, exchange.respond);
   const std::uint64_t number = next_watch_++;
@@ -134,7 +149,7 @@
 
 void state_relay::Answer(const store_request& question,
                          const std::function<void(http_response)>& respond) {
-  if (!is_fresh_) {
+  if (!MayAnswer(question)) {
     return respond(http_response(http::status::service_unavailable, kHttp11));
   }
   std::vector<std::string> originals;
--- a/modules/state_feed/state_relay.h
+++ b/modules/state_feed/state_relay.h
@@ -2,7 +2,9 @@
 // other entry VMs. In a large fleet a few entry VMs read the store and the
 // others read from them, because each call to the store has a price. A relay
 // answers only while its own state is fresh, which keeps followers from relying
-// on a relay that is cut off from the store.
+// on a relay that is cut off from the store. Any entry VM whose state the store
+// has just confirmed answers watches that do not wait, for processes that
+// start.
 #ifndef MODULES_STATE_FEED_STATE_RELAY_H_
 #define MODULES_STATE_FEED_STATE_RELAY_H_
 
@@ -29,6 +31,8 @@
 class state_relay : public service {
  public:
   static constexpr std::string_view kName = "state_relay";
+  // Wait of a watch that only fetches what has changed already.
+  static constexpr time_span kNoWait = std::chrono::milliseconds(1);
 
   state_relay(service_registry& registry,
               const entry_settings& settings,
@@ -56,6 +60,8 @@
   // Sets whether the state is fresh: true after the store has answered, false
   // when it no longer answers.
   void SetFresh(bool is_fresh);
+  // The store has just confirmed the state.
+  void SetConfirmed();
 
  private:
   struct kept_change {
@@ -69,6 +75,7 @@
   };
 
   void Handle(const http_exchange& exchange);
+  bool MayAnswer(const store_request& question) const;
   // Whether there is nothing to answer to `watch` yet.
   bool IsUpToDate(const store_request& watch) const;
   void Answer(const store_request& question,
@@ -88,7 +95,10 @@
   store_position as_of_;
   // History holds changes after this one, all of the era of `as_of_`.
   std::uint64_t history_from_ = 0;
+  bool has_listing_ = false;
   bool is_fresh_ = false;
+  // Until this time watches without a wait are answered, fresh or not.
+  monotonic_time confirmed_until_;
   // By watch number, because the handler of an expired timer can run after its
   // watch was answered and erased.
   std::map<std::uint64_t, waiting_watch> waiting_;
--- a/modules/state_feed/store_contract.h
+++ b/modules/state_feed/store_contract.h
@@ -51,9 +51,17 @@
   std::string original;
 };
 
+// What a listing of the store may miss.
+enum class listing_kind {
+  kCurrent,        // Nothing that was written before the call.
+  kMayBeOutdated,  // What was written in the last seconds. Costs a tenth.
+};
+
 // A request that a follower sends to a relay instead of the store.
 struct store_request {
   bool is_watch = false;
+  // Listings only. A relay's listing is never outdated.
+  listing_kind kind = listing_kind::kCurrent;
   // Watches only. Without an era, `after_revision` counts in the relay's era.
   std::optional<std::uint64_t> after_era;
   std::uint64_t after_revision = 0;
@@ -72,7 +80,8 @@
 
 struct store_contract {
   // Return the request targets of HTTP GET requests.
-  std::function<std::string(const std::string& after_key)> list_target;
+  std::function<std::string(const std::string& after_key, listing_kind kind)>
+      list_target;
   std::function<std::string(std::uint64_t after_revision, time_span wait)>
       watch_target;
   // As `watch_target`, for a relay instead of the store.
--- a/tests/platform/process/cut_answer_path_test.cc
+++ b/tests/platform/process/cut_answer_path_test.cc
@@ -122,6 +122,7 @@
   std::vector<std::vector<caller_answer>> answers(names.size());
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&] {
       for (std::size_t each = next++; each < names.size(); each = next++) {
