--- a/servers/membership/gossip_protocol.h
+++ b/servers/membership/gossip_protocol.h
@@ -146,7 +146,7 @@
   void CheckProbe(monotonic_time now);
   void CheckSuspicions(monotonic_time now);
   void ContactAbsentAddresses(monotonic_time now);
-  // Requests the table of a random member until two requests in a row have
+  // Requests the table of a random member until three requests in a row have
   // brought no further member.
   void ContinueJoin(monotonic_time now);
   void PingContested();
--- a/servers/scheduling/shutdown_policy.h
+++ b/servers/scheduling/shutdown_policy.h
@@ -19,7 +19,6 @@
 
   // The order to stop was received at `now`. Later calls change nothing.
   void Begin(monotonic_time now);
-  bool has_begun() const { return started_at_.has_value(); }
 
   // Whether a request whose caller waits until `deadline` may be sent to an
   // endpoint. Always true before the shutdown begins.
