--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -110,6 +110,10 @@
   services_.headers = &contract_.headers;
   services_.availability_zone = settings_.availability_zone;
   services_.may_pass_on = [](monotonic_time) { return true; };
+  services_.state_age = [this] {
+    const monotonic_time now = event_loop::Now();
+    return now - feed_->last_answer().value_or(now);
+  };
   services_.ended = [this](request_run& run, request_outcome end,
                            repeat_rule repeat, time_span elapsed,
                            std::size_t body_bytes) {
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -122,6 +122,7 @@
        {"endpoint", grant.endpoint.id},
        {"attempt", std::to_string(sent_)},
        {"hedge", grant.is_hedge ? "true" : "false"},
+       {"state_age_ms", std::to_string(ToMilliseconds(services_.state_age()))},
        {"waited_ms",
         std::to_string(ToMilliseconds(event_loop::Now() - request_.arrival))}});
   endpoint_exchange exchange;
--- a/modules/entry_gateway/request_run.h
+++ b/modules/entry_gateway/request_run.h
@@ -56,6 +56,8 @@
   // Whether a request whose caller waits until `deadline` may still be sent to
   // an endpoint.
   std::function<bool(monotonic_time deadline)> may_pass_on;
+  // Time since the store or a relay last confirmed the list of endpoints.
+  std::function<time_span()> state_age;
   // Called once when the request ends, with the size of its body.
   std::function<void(request_run& run,
                      request_outcome end,
--- a/modules/http/http_fetch.cc
+++ b/modules/http/http_fetch.cc
@@ -82,6 +82,8 @@
                                     std::size_t size) {
           if (error == boost::beast::error::timeout)
             return self->Finish(fetch_error_code::kTimedOut);
+          if (size > 0)
+            self->request_.on_progress(size);
           switch (self->reader_.Receive(error, size)) {
             case answer_state::kIncomplete:
               return self->ReadSome();
--- a/modules/http/http_fetch.h
+++ b/modules/http/http_fetch.h
@@ -38,6 +38,8 @@
   // caller retry sooner.
   time_span connect_timeout = std::chrono::seconds(1);
   std::size_t max_answer_bytes = 1 << 20;
+  // Called with the size in bytes of each part of the response that arrives.
+  std::function<void(std::size_t bytes)> on_progress = [](std::size_t) {};
 };
 
 // Sends the request. Calls `done` asynchronously and exactly once, unless the
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -83,6 +83,9 @@
 // A page holds at most about 500 items or 1 MB before base64 encoding.
 constexpr std::size_t kMaxAnswerBytes = 8 << 20;
 
+// Answers of at least this size are logged: they delay the changes behind them.
+constexpr std::size_t kLargeAnswerBytes = 64 << 10;
+
 constexpr unsigned kHttp11 = 11;
 
 }  // namespace
@@ -129,6 +132,7 @@
                        time_span timeout,
                        void (state_feed::*handle)(const fetch_result&)) {
   call_started_at_ = event_loop::Now();
+  call_bytes_ = 0;
   if (!IsFollowing())
     ++calls_total_;
   fetch_request fetch;
@@ -139,11 +143,29 @@
   fetch.request.set(http::field::host, source_.ToString());
   fetch.timeout = timeout;
   fetch.max_answer_bytes = kMaxAnswerBytes;
-  papayakeel::Fetch(loop_->context(), std::move(fetch),
-                    [this, handle](const fetch_result& answer) {
-                      if (!is_stopped_)
-                        (this->*handle)(answer);
-                    });
+  fetch.on_progress = [this](std::size_t bytes) { call_bytes_ += bytes; };
+  papayakeel::Fetch(
+      loop_->context(), std::move(fetch),
+      [this, handle](const fetch_result& answer) {
+        if (is_stopped_)
+          return;
+        const monotonic_time received_at = event_loop::Now();
+        const std::size_t bytes = call_bytes_;
+        const monotonic_time called_at = call_started_at_;
+        const network_address source = source_;
+        (this->*handle)(answer);
+        if (bytes < kLargeAnswerBytes)
+          return;
+        const monotonic_time now = event_loop::Now();
+        Log(log_level::kInfo, "large_state_answer",
+            {{"source", source.ToString()},
+             {"bytes", std::to_string(bytes)},
+             {"took_ms",
+              std::to_string(ToMilliseconds(received_at - called_at))},
+             {"applied_ms", std::to_string(ToMilliseconds(now - received_at))},
+             {"era", std::to_string(position_.era)},
+             {"revision", std::to_string(position_.revision)}});
+      });
 }
 
 void state_feed::List(const std::string& after_key) {
@@ -439,7 +461,11 @@
   if (IsFollowing()) {
     // Fail over to the next relay, or to the store after the last one.
     Log(log_level::kWarning, "relay_lost",
-        {{"relay", source_.ToString()}, {"reason", std::string(reason)}});
+        {{"relay", source_.ToString()},
+         {"reason", std::string(reason)},
+         {"waited_ms",
+          std::to_string(ToMilliseconds(event_loop::Now() - call_started_at_))},
+         {"received_bytes", std::to_string(call_bytes_)}});
     ++relay_failures_;
     ++relay_rotation_;
     if (is_listing_unconfirmed_) {
@@ -466,6 +492,9 @@
     failing_since_ = event_loop::Now();
     Log(log_level::kWarning, "store_lost",
         {{"reason", std::string(reason)},
+         {"waited_ms",
+          std::to_string(ToMilliseconds(event_loop::Now() - call_started_at_))},
+         {"received_bytes", std::to_string(call_bytes_)},
          {"era", std::to_string(position_.era)},
          {"revision", std::to_string(position_.revision)}});
   }
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -172,6 +172,7 @@
   monotonic_time relay_confirmation_end_;
   int failures_in_row_ = 0;
   monotonic_time call_started_at_;
+  std::size_t call_bytes_ = 0;  // Received in the current call.
   // The latest time at which the store is known to have been away or out of
   // reach. Reset by a watch that continues the history.
   std::optional<monotonic_time> last_away_at_;
