--- /dev/null
+++ b/tests/modules/support/throttled_link.h
@@ -0,0 +1,55 @@
+// The link of one machine for tests: forwards connections to a server, and
+// delivers what the server writes on all of them at a limited rate.
+#ifndef TESTS_MODULES_SUPPORT_THROTTLED_LINK_H_
+#define TESTS_MODULES_SUPPORT_THROTTLED_LINK_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/monotonic_time.h"
+#include "core/network_address.h"
+
+namespace papayakeel {
+
+class throttled_link {
+ public:
+  // Listens at `listen` and forwards to `server`. All connections together
+  // deliver `bytes_per_second`, in equal shares.
+  throttled_link(boost::asio::io_context& context,
+                 const network_address& listen,
+                 network_address server,
+                 std::size_t bytes_per_second);
+  ~throttled_link();
+
+  network_address address() const;
+  std::uint64_t delivered_bytes() const { return delivered_bytes_; }
+
+ private:
+  struct connection;
+
+  void Accept();
+  void Forward(const std::shared_ptr<connection>& forwarded);
+  void ReadFromServer(const std::shared_ptr<connection>& forwarded);
+  void Deliver();
+
+  boost::asio::io_context& context_;
+  const network_address server_;
+  const std::size_t bytes_per_second_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  monotonic_time delivered_at_;
+  std::uint64_t delivered_bytes_ = 0;
+  std::vector<std::shared_ptr<connection>> connections_;
+};
+
+}  // namespace papayakeel
+
+#endif  // TESTS_MODULES_SUPPORT_THROTTLED_LINK_H_
