Compress the copies of a large state that relays hand on

Seen by callers: requests to endpoints that had left up to 2.8 s before (DRAIN), and late answers in the seconds of a new desired state.

Cause: a change of the desired state reaches followers in the same answer as all changes of endpoints behind it. A state of some thousand routes is over a megabyte; its copies for 43 followers fill the link of a reader for seconds, no copy arrives within the 0.9 s that a follower waits, and all followers then ask the store at once, where their copies take as long again.

Change: a relay compresses an answer of 1 KiB or more once for all followers that ask for the same changes.

--- a/modules/http/http_fetch.cc
+++ b/modules/http/http_fetch.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -12,6 +14,7 @@
 
 #include "drivers/socket_options.h"
 #include "modules/http/answer_reader.h"
+#include "modules/http/body_compression.h"
 
 namespace papayakeel {
 
@@ -55,6 +58,9 @@
     if (request_.request.find(http::field::host) == request_.request.end())
       request_.request.set(http::field::host, request_.server.ToString());
     request_.request.keep_alive(false);
+    if (request_.may_be_compressed)
+      request_.request.set(http::field::accept_encoding,
+                           std::string(kGzipEncoding));
     request_.request.prepare_payload();
     stream_.expires_after(request_.timeout);
     http::async_write(stream_, request_.request,
@@ -90,12 +96,28 @@
             case answer_state::kBroken:
               return self->Finish(fetch_error_code::kBroken);
             case answer_state::kComplete:
-              self->stream_.close();
-              self->done_(self->reader_.Release());
+              return self->HandleAnswer();
           }
         });
   }
 
+  void HandleAnswer() {
+    http_response answer = reader_.Release();
+    const bool is_compressed =
+        request_.may_be_compressed &&
+        ToStringView(answer[http::field::content_encoding]) == kGzipEncoding;
+    if (is_compressed) {
+      std::optional<std::string> body =
+          DecompressBody(answer.body(), request_.max_answer_bytes);
+      if (!body)
+        return Finish(fetch_error_code::kBroken);
+      answer.body() = std::move(*body);
+      answer.erase(http::field::content_encoding);
+    }
+    stream_.close();
+    done_(std::move(answer));
+  }
+
   void Finish(fetch_error_code code) {
     stream_.close();
     done_(tl::unexpected(code));
--- a/modules/http/http_fetch.h
+++ b/modules/http/http_fetch.h
@@ -38,6 +38,9 @@
   // caller retry sooner.
   time_span connect_timeout = std::chrono::seconds(1);
   std::size_t max_answer_bytes = 1 << 20;
+  // Whether the server may compress the response. `max_answer_bytes` holds for
+  // the response before and after decompression.
+  bool may_be_compressed = false;
   // Called with the size in bytes of each part of the response that arrives.
   std::function<void(std::size_t bytes)> on_progress = [](std::size_t) {};
 };
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -139,6 +139,7 @@
   fetch.server = source_;
   if (IsFollowing())
     fetch.connect_timeout = std::min(kRelayTimeout, timeout);
+  fetch.may_be_compressed = IsFollowing();
   fetch.request = http_request(http::verb::get, target, kHttp11);
   fetch.request.set(http::field::host, source_.ToString());
   fetch.timeout = timeout;
--- a/modules/state_feed/state_relay.cc
+++ b/modules/state_feed/state_relay.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "drivers/event_loop.h"
+#include "modules/http/body_compression.h"
 
 namespace papayakeel {
 
@@ -17,6 +18,12 @@
 // No older than the state of a reader may be.
 constexpr time_span kConfirmationAge = std::chrono::milliseconds(800);
 
+// A desired state of thousands of routes takes a second on the link of a small
+// VM, and its copies for all followers fill that of a reader for several.
+constexpr std::size_t kMinCompressedBytes = 1 << 10;
+// Followers that are behind by different changes need an answer each.
+constexpr std::size_t kMaxCompressedAnswers = 16;
+
 constexpr unsigned kHttp11 = 11;
 
 }  // namespace
@@ -54,6 +61,7 @@
 void state_relay::SetListing(const std::vector<store_change>& items,
                              const store_position& as_of) {
   items_.clear();
+  compressed_answers_.clear();
   for (const store_change& item : items)
     items_[item.key] = {item.revision, item.original};
   history_.clear();
@@ -65,6 +73,7 @@
 
 void state_relay::AddChanges(const std::vector<store_change>& changes,
                              const store_position& as_of) {
+  compressed_answers_.clear();
   for (const store_change& change : changes) {
     if (std::holds_alternative<removed_entry>(change.value))
       items_.erase(change.key);
@@ -102,14 +111,17 @@
       contract_.parse_request(ToStringView(exchange.request.target()));
   if (!question)
     return exchange.respond(http_response(http::status::not_found, kHttp11));
+  const bool may_compress =
+      ToStringView(exchange.request[http::field::accept_encoding]) ==
+      kGzipEncoding;
+  const relay_call call = {*question, may_compress, exchange.respond};
   const bool must_wait = question->is_watch && has_listing_ && is_fresh_ &&
                          IsUpToDate(*question) && question->wait > kNoWait;
   if (!must_wait)
-    return Answer(*question, exchange.respond);
+    return Answer(call);
   const std::uint64_t number = next_watch_++;
   waiting_watch& waiting = waiting_[number];
-  waiting.question = *question;
-  waiting.respond = exchange.respond;
+  waiting.call = call;
   waiting.timer = std::make_unique<boost::asio::steady_timer>(loop_->context(),
                                                               question->wait);
   exchange.on_disconnect([this, number] {
@@ -129,13 +141,13 @@
     return;
   const waiting_watch ended = std::move(found->second);
   waiting_.erase(found);
-  Answer(ended.question, ended.respond);
+  Answer(ended.call);
 }
 
 void state_relay::AnswerWaiting() {
   std::vector<std::uint64_t> due;
   for (const auto& [number, waiting] : waiting_) {
-    if (!is_fresh_ || !IsUpToDate(waiting.question))
+    if (!is_fresh_ || !IsUpToDate(waiting.call.question))
       due.push_back(number);
   }
   for (const std::uint64_t number : due)
@@ -147,33 +159,60 @@
          watch.after_revision >= as_of_.revision;
 }
 
-void state_relay::Answer(const store_request& question,
-                         const std::function<void(http_response)>& respond) {
+void state_relay::Answer(const relay_call& call) {
+  const store_request& question = call.question;
   if (!MayAnswer(question)) {
-    return respond(http_response(http::status::service_unavailable, kHttp11));
+    return call.respond(
+        http_response(http::status::service_unavailable, kHttp11));
+  }
+  http_response response(http::status::ok, kHttp11);
+  const bool is_history_gone =
+      question.is_watch &&
+      (question.after_era.value_or(as_of_.era) != as_of_.era ||
+       question.after_revision < history_from_);
+  if (is_history_gone) {
+    response.result(contract_.history_gone_status);
+    return call.respond(std::move(response));
   }
+  ++answers_;
+  response.set(http::field::content_type, "application/json");
+  contract_.write_era(response, as_of_.era);
+  SetBody(call, response);
+  call.respond(std::move(response));
+}
+
+std::string state_relay::WriteAnswer(const store_request& question) const {
   std::vector<std::string> originals;
-  if (!question.is_watch) {
-    for (const auto& [key, item] : items_)
-      originals.push_back(item.original);
-  } else if (question.after_era.value_or(as_of_.era) != as_of_.era ||
-             question.after_revision < history_from_) {
-    http_response gone(http::status::ok, kHttp11);
-    gone.result(contract_.history_gone_status);
-    return respond(std::move(gone));
-  } else {
+  if (question.is_watch) {
     for (const kept_change& change : history_) {
       if (change.revision > question.after_revision)
         originals.push_back(change.original);
     }
+  } else {
+    for (const auto& [key, item] : items_)
+      originals.push_back(item.original);
   }
-  ++answers_;
-  http_response response(http::status::ok, kHttp11);
-  response.set(http::field::content_type, "application/json");
-  contract_.write_era(response, as_of_.era);
-  response.body() = contract_.write_answer(
+  return contract_.write_answer(
       question, originals, std::max(as_of_.revision, question.after_revision));
-  respond(std::move(response));
+}
+
+void state_relay::SetBody(const relay_call& call, http_response& response) {
+  const answer_key key = {call.question.is_watch, call.question.after_revision};
+  const auto known = call.may_compress ? compressed_answers_.find(key)
+                                       : compressed_answers_.end();
+  if (known != compressed_answers_.end()) {
+    response.body() = known->second;
+  } else {
+    std::string body = WriteAnswer(call.question);
+    if (!call.may_compress || body.size() < kMinCompressedBytes) {
+      response.body() = std::move(body);
+      return;
+    }
+    if (compressed_answers_.size() >= kMaxCompressedAnswers)
+      compressed_answers_.clear();
+    response.body() = compressed_answers_[key] = CompressBody(body);
+  }
+  response.set(http::field::content_encoding, std::string(kGzipEncoding));
 }
 
 nlohmann::json state_relay::DumpState() const {
--- a/modules/state_feed/state_relay.h
+++ b/modules/state_feed/state_relay.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -68,18 +69,27 @@
     std::uint64_t revision = 0;
     std::string original;
   };
-  struct waiting_watch {
+  struct relay_call {
     store_request question;
+    bool may_compress = false;  // The follower reads compressed answers.
     std::function<void(http_response)> respond;
+  };
+  struct waiting_watch {
+    relay_call call;
     std::unique_ptr<boost::asio::steady_timer> timer;
   };
+  // Whether a watch, and the revision after which it asks; 0 for a listing.
+  using answer_key = std::pair<bool, std::uint64_t>;
 
   void Handle(const http_exchange& exchange);
   bool MayAnswer(const store_request& question) const;
   // Whether there is nothing to answer to `watch` yet.
   bool IsUpToDate(const store_request& watch) const;
-  void Answer(const store_request& question,
-              const std::function<void(http_response)>& respond);
+  void Answer(const relay_call& call);
+  // Returns what the answer to `question` holds, as the store would write it.
+  std::string WriteAnswer(const store_request& question) const;
+  // Fills in the body, compressed if it is large and the follower allows that.
+  void SetBody(const relay_call& call, http_response& response);
   void AnswerWatch(std::uint64_t number);
   // Answers the pending watches for which there are changes, or all pending
   // watches when the state is no longer fresh.
@@ -103,6 +113,9 @@
   // watch was answered and erased.
   std::map<std::uint64_t, waiting_watch> waiting_;
   std::uint64_t next_watch_ = 1;
+  // Compressed answers at `as_of_`: most followers ask for the same changes at
+  // the same moment.
+  std::map<answer_key, std::string> compressed_answers_;
   std::uint64_t answers_ = 0;
   bool is_stopped_ = false;
 };
