Read on while a large state answer is arriving

Cause: a call for the state had a limit for its whole answer, whatever its size and link. A VM on whose link a state takes longer than the limit (1.2 s for a page of a listing, 2.2 s for a watch at the store) gave each answer up and began anew: it never got that state nor any change behind it.

Change: the limit holds for the first byte; while parts keep arriving, each within 0.3 s at a relay and 0.8 s at the store, the answer is read on, for up to 1.5 s and 10 s.

Measured: large_state.IsReadOverALinkOnWhichItTakesSeconds failed before (no state after 10 s over a link on which it takes 3 s) and passes, as does http_fetch.ReadsOnWhileTheResponseArrives.

--- a/modules/http/http_fetch.cc
+++ b/modules/http/http_fetch.cc
@@ -62,7 +62,11 @@
       request_.request.set(http::field::accept_encoding,
                            std::string(kGzipEncoding));
     request_.request.prepare_payload();
-    stream_.expires_after(request_.timeout);
+    const std::chrono::steady_clock::time_point now =
+        std::chrono::steady_clock::now();
+    expires_at_ = now + request_.timeout;
+    last_expiry_ = now + request_.max_timeout;
+    stream_.expires_at(expires_at_);
     http::async_write(stream_, request_.request,
                       [self = shared_from_this()](
                           const boost::system::error_code& error, std::size_t) {
@@ -89,7 +93,7 @@
           if (error == boost::beast::error::timeout)
             return self->Finish(fetch_error_code::kTimedOut);
           if (size > 0)
-            self->request_.on_progress(size);
+            self->OnProgress(size);
           switch (self->reader_.Receive(error, size)) {
             case answer_state::kIncomplete:
               return self->ReadSome();
@@ -101,6 +105,15 @@
         });
   }
 
+  void OnProgress(std::size_t bytes) {
+    const std::chrono::steady_clock::time_point extended =
+        std::min(std::chrono::steady_clock::now() + request_.progress_timeout,
+                 last_expiry_);
+    expires_at_ = std::max(expires_at_, extended);
+    stream_.expires_at(expires_at_);
+    request_.on_progress(bytes);
+  }
+
   void HandleAnswer() {
     http_response answer = reader_.Release();
     const bool is_compressed =
@@ -125,6 +138,9 @@
 
   boost::beast::tcp_stream stream_;
   answer_reader reader_;
+  // Time limit of the call, and the latest that it may be extended to.
+  std::chrono::steady_clock::time_point expires_at_;
+  std::chrono::steady_clock::time_point last_expiry_;
   fetch_request request_;
   fetch_callback done_;
 };
--- a/modules/http/http_fetch.h
+++ b/modules/http/http_fetch.h
@@ -34,6 +34,10 @@
   // Time limit for sending the request and reading the response, measured from
   // the moment the connection is open.
   time_span timeout = std::chrono::seconds(5);
+  // Extends `timeout` while the response arrives: each part of it may take
+  // `progress_timeout`, and all of it `max_timeout`. No extension when zero.
+  time_span progress_timeout{0};
+  time_span max_timeout{0};
   // TCP retransmits a lost SYN only after seconds. Failing early lets the
   // caller retry sooner.
   time_span connect_timeout = std::chrono::seconds(1);
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -71,6 +71,11 @@
 // are cut off from the store, and their followers, must detect it in time.
 constexpr time_span kRelayedWatchWait = std::chrono::milliseconds(600);
 constexpr time_span kRelayTimeout = std::chrono::milliseconds(300);
+// An answer whose parts keep arriving is read on for up to this time. The store
+// has the newest state sooner than a relay that takes longer; a store that is
+// asked again only starts over.
+constexpr time_span kMaxRelayTime = std::chrono::milliseconds(1500);
+constexpr time_span kMaxStoreTime = std::chrono::seconds(10);
 // Wait before relays that are not ready yet are asked again, half to one and a
 // half times.
 constexpr time_span kRelayRetryWait = std::chrono::milliseconds(100);
@@ -143,6 +148,8 @@
   fetch.request = http_request(http::verb::get, target, kHttp11);
   fetch.request.set(http::field::host, source_.ToString());
   fetch.timeout = timeout;
+  fetch.progress_timeout = IsFollowing() ? kRelayTimeout : kWatchAnswerTimeout;
+  fetch.max_timeout = IsFollowing() ? kMaxRelayTime : kMaxStoreTime;
   fetch.max_answer_bytes = kMaxAnswerBytes;
   fetch.on_progress = [this](std::size_t bytes) { call_bytes_ += bytes; };
   papayakeel::Fetch(
--- a/tests/modules/http/http_fetch_test.cc
+++ b/tests/modules/http/http_fetch_test.cc
@@ -33,6 +33,11 @@
 TEST_GROUP(http_fetch) {
   boost::asio::io_context context;
   std::unique_ptr<scripted_server> server;
+  fetch_request fetch_limits_;
+
+  void setup() override {
+    fetch_limits_.timeout = seconds(20);
+  }
 
   void teardown() override {
     server.reset();
@@ -43,10 +48,9 @@
         context, [script](std::size_t, std::size_t, const std::string&) {
           return script;
         });
-    fetch_request fetch;
+    fetch_request fetch = fetch_limits_;
     fetch.server = server->address();
     fetch.request = http_request(http::verb::get, "/", 11);
-    fetch.timeout = seconds(20);
     fetch.max_answer_bytes = kAnswerLimit;
     std::optional<fetch_result> result;
     Fetch(context, std::move(fetch),
@@ -94,4 +98,39 @@
   CHECK(empty.has_value());
 }
 
+// Guards against a large response that is given up again and again because its
+// link is slow.
+TEST(http_fetch, ReadsOnWhileTheResponseArrives) {
+  const server_script slow = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n",
+      std::string(1000, 'b'), milliseconds(20)};
+  fetch_limits_.timeout = milliseconds(300);
+  const fetch_result given_up = FetchFrom(slow);
+  CHECK_FALSE(given_up.has_value());
+  STRCMP_EQUAL("timed_out", ToString(given_up.error()));
+  fetch_limits_.progress_timeout = milliseconds(300);
+  fetch_limits_.max_timeout = seconds(15);
+  const fetch_result read = FetchFrom(slow);
+  CHECK(read.has_value());
+  LONGS_EQUAL(40000, read->body().size());
+}
+
+// Guards against a fetch that a server keeps alive for ever, or that waits for
+// a server which fell silent in the middle of its response.
+TEST(http_fetch, ResponsesWithoutEndOrProgressAreGivenUp) {
+  const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n";
+  fetch_limits_.timeout = milliseconds(100);
+  fetch_limits_.progress_timeout = milliseconds(100);
+  fetch_limits_.max_timeout = milliseconds(400);
+  for (const server_script& script :
+       {server_script{start, "b", milliseconds(20)},
+        server_script{start + "b", "", {}}}) {
+    const monotonic_time started_at = std::chrono::steady_clock::now();
+    const fetch_result result = FetchFrom(script);
+    CHECK_FALSE(result.has_value());
+    STRCMP_EQUAL("timed_out", ToString(result.error()));
+    CHECK(std::chrono::steady_clock::now() - started_at < seconds(10));
+  }
+}
+
 }  // namespace papayakeel
--- a/tests/modules/state_feed/large_state_test.cc
+++ b/tests/modules/state_feed/large_state_test.cc
@@ -39,6 +39,9 @@
 constexpr std::size_t kReaderBytesPerSecond = 40 << 10;
 constexpr std::size_t kStoreBytesPerSecond = 330 << 10;
 
+// A copy of the state takes 3 s.
+constexpr std::size_t kSlowLinkBytesPerSecond = 17 << 10;
+
 // The shortest time within which the users' platform asks that a leaving
 // endpoint gets no more work in a fleet that has readers.
 constexpr time_span kDrainLimit = milliseconds(2500);
@@ -178,4 +181,28 @@
   CHECK(known_after < kDrainLimit);
 }
 
+// Guards against a VM on a slow link that never reads a large state, because
+// each call ends before its answer has arrived.
+TEST(large_state, IsReadOverALinkOnWhichItTakesSeconds) {
+  StartStore();
+  store->Put(platform::DesiredStateKey(), LargeState(2));
+  links.push_back(std::make_unique<throttled_link>(
+      context, network_address{"127.0.0.1", 0}, store->address(),
+      kSlowLinkBytesPerSecond));
+  for (const std::uint64_t version : {2, 3}) {
+    if (version == 2) {
+      vms.push_back(std::make_unique<feed_process>());
+      vms.back()->Start(links.back()->address());
+    } else {
+      store->Put(platform::DesiredStateKey(), LargeState(3));
+    }
+    CHECK(RunUntil(
+        [this, version] {
+          return vms.back()->Find<desired_state_store>()->routes() != nullptr &&
+                 AllHaveVersion(version);
+        },
+        seconds(10)));
+  }
+}
+
 }  // namespace papayakeel
