Send nothing to an endpoint that has announced its leaving

Cause: nothing read the announcement; the VM went on until its list of endpoints said the same.

Change: any answer of an endpoint, also a refusal, a status check or a late answer, marks that start of it as leaving in the VM's list. The VM gives back grants for it as not sent, checks once more when a new connection has opened, and tells the owner with the report of the attempt, so that a new owner hears it too.

--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -2,6 +2,7 @@
 // and belongs to the request.
 #include "modules/endpoint_link/endpoint_connection.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <functional>
@@ -61,11 +62,13 @@
 
 endpoint_connection::endpoint_connection(boost::asio::io_context& context,
                                          const caller_contract& contract,
-                                         std::shared_ptr<answer_memory> memory)
+                                         std::shared_ptr<answer_memory> memory,
+                                         endpoint_leaving_hook on_leaving)
     : contract_(contract),
       stream_(context),
       deadline_timer_(context),
-      memory_(std::move(memory)) {}
+      memory_(std::move(memory)),
+      on_leaving_(std::move(on_leaving)) {}
 
 void endpoint_connection::Run(endpoint_exchange exchange,
                               endpoint_callback done) {
@@ -110,6 +113,10 @@
         }
         self->is_open_ = true;
         SetLowLatencyOptions(self->stream_.socket().native_handle());
+        if (!self->exchange_.may_send()) {
+          return self->Finish(attempt_outcome::kUnreachable,
+                              "endpoint is leaving");
+        }
         self->Write();
       });
 }
@@ -201,6 +208,8 @@
     return Skip();
   if (IsRefusal())
     RememberRefusal();
+  if (AnnouncesLeaving())
+    on_leaving_(exchange_);
   // A late or repeated answer to an earlier exchange is skipped.
   if (IsForOtherExchange())
     return Skip();
@@ -217,6 +226,22 @@
          answer.find(contract_.headers.not_run) != answer.end();
 }
 
+bool endpoint_connection::AnnouncesLeaving() const {
+  const http_response& answer = reader_.answer();
+  const header_names& names = contract_.headers;
+  // Another endpoint at the address speaks for itself.
+  const auto id = answer.find(names.endpoint_id);
+  const bool is_from_other =
+      answer.result_int() == kMisdirectedStatus ||
+      (id != answer.end() && id->value() != exchange_.endpoint_id);
+  if (is_from_other)
+    return false;
+  const auto values = answer.equal_range(names.endpoint_leaving);
+  return std::any_of(values.first, values.second, [this](const auto& each) {
+    return contract_.read_leaving(ToStringView(each.value()));
+  });
+}
+
 bool endpoint_connection::IsForOtherExchange() const {
   const http_response& answer = reader_.answer();
   const auto id = answer.find(contract_.headers.request_id);
--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -29,7 +29,8 @@
  public:
   endpoint_connection(boost::asio::io_context& context,
                       const caller_contract& contract,
-                      std::shared_ptr<answer_memory> memory);
+                      std::shared_ptr<answer_memory> memory,
+                      endpoint_leaving_hook on_leaving);
 
   // Runs one exchange. `done` is called asynchronously and exactly once, unless
   // `Abandon` is called first.
@@ -59,6 +60,8 @@
   void Discard(std::string detail);
   void Finish(attempt_outcome outcome, std::string detail);
   bool IsRefusal() const;
+  // Whether the answer is the endpoint's own and announces that it leaves.
+  bool AnnouncesLeaving() const;
   bool IsForOtherExchange() const;
   attempt_outcome Classify() const;
   void RememberRefusal();
@@ -70,6 +73,7 @@
   answer_reader reader_;
   const std::shared_ptr<answer_memory> memory_;
   std::shared_ptr<answer_share> share_;  // Of the answer in `reader_`.
+  const endpoint_leaving_hook on_leaving_;
   int skipped_ = 0;  // Answers to other exchanges, and interim answers.
   endpoint_exchange exchange_;
   endpoint_callback done_;  // Set while an exchange runs.
--- a/modules/endpoint_link/endpoint_exchange.h
+++ b/modules/endpoint_link/endpoint_exchange.h
@@ -2,6 +2,7 @@
 #ifndef MODULES_ENDPOINT_LINK_ENDPOINT_EXCHANGE_H_
 #define MODULES_ENDPOINT_LINK_ENDPOINT_EXCHANGE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -17,6 +18,7 @@
 
 struct endpoint_exchange {
   std::string endpoint_id;
+  std::uint64_t endpoint_started_unix_ms = 0;  // Identifies the start.
   network_address address;
   // Request line and headers, including the empty line that ends them.
   std::string header;
@@ -27,10 +29,17 @@
   bool is_head = false;
   // Whether an idle pooled connection may be used.
   bool may_reuse = true;
+  // Whether the endpoint may still get the request. Asked once a new connection
+  // is open, which may take long.
+  std::function<bool()> may_send = [] { return true; };
   // The exchange fails when it has no answer by this time.
   monotonic_time deadline;
 };
 
+// Called with an exchange in which its endpoint announced that it leaves, also
+// in an answer to an earlier exchange.
+using endpoint_leaving_hook = std::function<void(const endpoint_exchange&)>;
+
 struct endpoint_result {
   attempt_outcome outcome = attempt_outcome::kBroken;
   http_response response;  // Only for kAnswered and kServerError.
--- a/modules/endpoint_link/endpoint_link.cc
+++ b/modules/endpoint_link/endpoint_link.cc
@@ -89,8 +89,12 @@
     }
   }
   ++opened_total_;
-  return std::make_shared<detail::endpoint_connection>(loop_->context(),
-                                                       contract_, memory_);
+  return std::make_shared<detail::endpoint_connection>(
+      loop_->context(), contract_, memory_,
+      [this](const endpoint_exchange& ended) {
+        if (!is_stopped_)
+          on_leaving_(ended);
+      });
 }
 
 endpoint_link::exchange_id endpoint_link::Begin(endpoint_exchange exchange,
--- a/modules/endpoint_link/endpoint_link.h
+++ b/modules/endpoint_link/endpoint_link.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -40,6 +41,11 @@
   void Stop() override;
   nlohmann::json DumpState() const override;
 
+  // Sets what is called when an endpoint announces that it leaves.
+  void SetLeavingHook(endpoint_leaving_hook hook) {
+    on_leaving_ = std::move(hook);
+  }
+
   // Starts an exchange. `done` is called asynchronously and exactly once,
   // unless `Cancel` is called first.
   exchange_id Begin(endpoint_exchange exchange, endpoint_callback done);
@@ -73,6 +79,7 @@
   // Idle connections, most recently used last.
   std::map<pool_key, std::vector<connection_pointer>> idle_;
   std::unordered_map<exchange_id, connection_pointer> running_;
+  endpoint_leaving_hook on_leaving_ = [](const endpoint_exchange&) {};
   exchange_id next_id_ = 1;
   std::uint64_t opened_total_ = 0;
   std::uint64_t reused_total_ = 0;
--- a/modules/entry_gateway/caller_contract.h
+++ b/modules/entry_gateway/caller_contract.h
@@ -37,6 +37,8 @@
   // Parses the load report in a header value. Returns nullopt if the value is
   // malformed.
   std::function<std::optional<endpoint_load>(std::string_view value)> read_load;
+  // Whether a value of the header `endpoint_leaving` announces the leaving.
+  std::function<bool(std::string_view value)> read_leaving;
 };
 
 }  // namespace papayakeel
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -472,6 +472,9 @@
                static_cast<double>(slots.probes));
   sink.Counter("papayakeel_slot_rejections_total", "Requests rejected as owner",
                {}, static_cast<double>(slots.rejections));
+  sink.Counter("papayakeel_endpoints_announced_leaving_total",
+               "Endpoints that announced their leaving in an answer", {},
+               static_cast<double>(services_.slots->announced_leavings()));
   sink.Counter("papayakeel_owner_failures_total", "Owners that did not answer",
                {}, static_cast<double>(services_.slots->owner_failures()));
   sink.Counter("papayakeel_endpoint_connections_opened_total",
--- a/modules/entry_gateway/header_names.h
+++ b/modules/entry_gateway/header_names.h
@@ -14,6 +14,7 @@
   std::string expected_endpoint;  // Id of the intended endpoint.
   std::string endpoint_id;        // Id of the responding endpoint.
   std::string endpoint_load;      // The endpoint's load report.
+  std::string endpoint_leaving;   // The endpoint is about to leave.
   std::string not_run;            // The endpoint did not run the request.
 };
 
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -127,6 +127,10 @@
         std::to_string(ToMilliseconds(event_loop::Now() - request_.arrival))}});
   endpoint_exchange exchange;
   exchange.endpoint_id = grant.endpoint.id;
+  exchange.endpoint_started_unix_ms = grant.endpoint.started_unix_ms;
+  exchange.may_send = [self = shared_from_this(), endpoint = grant.endpoint] {
+    return self->services_.slots->IsUsable(endpoint);
+  };
   exchange.address = grant.endpoint.address;
   exchange.header = MakeHeader(grant);
   exchange.body = body_;
@@ -253,6 +257,7 @@
     return;
   RemoveHopByHopHeaders(response);
   response.erase(services_.headers->endpoint_load);
+  response.erase(services_.headers->endpoint_leaving);
   response.erase(services_.headers->not_run);
   response.erase(services_.headers->endpoint_id);
   if (response.find(services_.headers->request_id) == response.end())
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -82,6 +82,10 @@
     RefreshEndpoints(service_name);
   });
   directory_->Subscribe([this] { ReassignRequests(); });
+  link_->SetLeavingHook([this](const endpoint_exchange& exchange) {
+    OnEndpointLeaving(exchange.endpoint_id, exchange.endpoint_started_unix_ms,
+                      "answer");
+  });
 }
 
 void slot_link::Stop() {
@@ -237,6 +241,7 @@
   }
   endpoint_exchange exchange;
   exchange.endpoint_id = endpoint.id;
+  exchange.endpoint_started_unix_ms = endpoint.started_unix_ms;
   exchange.address = endpoint.address;
   exchange.header = "GET " + path +
                     " HTTP/1.1\r\nHost: " + endpoint.address.ToString() +
@@ -325,10 +330,18 @@
   if (found == held_.end())
     return;
   held_request& held = found->second;
-  held.attempts.erase(attempt);
-  held.resend_at = event_loop::Now() + kResendDelay;
   slot_message message =
       MakeMessage(slot_message_type::kReport, held.shard, held.request.key);
+  const auto running = held.attempts.find(attempt);
+  const endpoint_entry* endpoint = running == held.attempts.end()
+                                       ? nullptr
+                                       : endpoints_->Find(running->second);
+  if (endpoint != nullptr && endpoints_->HasAnnouncedLeaving(
+                                 endpoint->id, endpoint->started_unix_ms)) {
+    message.leaving_endpoint = {endpoint->id, endpoint->started_unix_ms};
+  }
+  held.attempts.erase(attempt);
+  held.resend_at = event_loop::Now() + kResendDelay;
   message.attempt = attempt;
   message.outcome = outcome;
   message.load = load;
@@ -357,11 +370,34 @@
   if (held.attempts.count(grant.attempt) > 0)
     return;
   held.attempts[grant.attempt] = grant.endpoint.id;
+  if (!IsUsable(grant.endpoint)) {
+    // The endpoint lists of this process and of the owner differ.
+    Log(log_level::kWarning, "grant_unusable",
+        {{"request", held.request.caller_id}, {"endpoint", grant.endpoint.id}});
+    return Report(grant.request.number, grant.attempt,
+                  attempt_outcome::kUnreachable, std::nullopt);
+  }
   ++held.request.earlier_attempts;
   const slot_client_hooks hooks = held.hooks;
   hooks.granted(grant);
 }
 
+bool slot_link::IsUsable(const endpoint_entry& endpoint) const {
+  const endpoint_entry* known = endpoints_->Find(endpoint.id);
+  return known != nullptr && !known->is_leaving &&
+         known->started_unix_ms == endpoint.started_unix_ms;
+}
+
+void slot_link::OnEndpointLeaving(const std::string& id,
+                                  std::uint64_t started_unix_ms,
+                                  std::string_view source) {
+  if (!endpoints_->MarkLeaving(id, started_unix_ms))
+    return;
+  ++announced_leavings_;
+  Log(log_level::kInfo, "endpoint_leaving",
+      {{"endpoint", id}, {"source", std::string(source)}});
+}
+
 void slot_link::ReturnGrant(const service_shard& shard,
                             const network_address& owner,
                             const request_key& key) {
@@ -564,6 +600,11 @@
   if (message.type == slot_message_type::kAdopt) {
     scheduler.Adopt(message.request, message.attempt, message.endpoint_id, now);
   } else if (message.type == slot_message_type::kReport) {
+    if (message.leaving_endpoint) {
+      OnEndpointLeaving(message.leaving_endpoint->id,
+                        message.leaving_endpoint->started_unix_ms,
+                        key.entry_vm);
+    }
     scheduler.Report(key, message.attempt, message.outcome, message.load, now);
   } else if (message.type == slot_message_type::kCancel) {
     scheduler.Cancel(key, now);
@@ -608,19 +649,14 @@
   }
   if (message.type != slot_message_type::kGrant)
     return;
-  const endpoint_entry* endpoint = endpoints_->Find(message.endpoint_id);
-  if (endpoint == nullptr || endpoint->is_leaving) {
-    // The endpoint lists of this process and of the owner differ.
-    Log(log_level::kWarning, "grant_unusable",
-        {{"request", held.request.caller_id},
-         {"endpoint", message.endpoint_id}});
-    Report(message.request.key.number, message.attempt,
-           attempt_outcome::kMisdirected, std::nullopt);
-    return;
-  }
+  const endpoint_entry* listed = endpoints_->Find(message.endpoint_id);
+  endpoint_entry endpoint;
+  endpoint.id = message.endpoint_id;
+  if (listed != nullptr)
+    endpoint = *listed;
   OnGrant(message.shard, held.owner,
           {message.request.key, held.request.caller_id, message.attempt,
-           *endpoint, message.is_hedge});
+           endpoint, message.is_hedge});
 }
 
 slot_counters slot_link::owned_counters() const {
@@ -645,6 +681,7 @@
   return {{"held_requests", held_.size()},
           {"owner_failures", owner_failures_},
           {"stale_grants", stale_grants_},
+          {"announced_leavings", announced_leavings_},
           {"datagrams_refused", datagrams_refused_},
           {"owned", shards}};
 }
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -67,9 +68,14 @@
   // attempts.
   void End(std::uint64_t number);
 
+  // Whether the endpoint of a grant may still get requests of this VM.
+  bool IsUsable(const endpoint_entry& endpoint) const;
+
   // Sums of the counters of all schedulers in this process.
   slot_counters owned_counters() const;
   std::uint64_t owner_failures() const { return owner_failures_; }
+  // Endpoints that announced their leaving, here or to a holder.
+  std::uint64_t announced_leavings() const { return announced_leavings_; }
 
  private:
   struct held_request {
@@ -116,6 +122,10 @@
                    const network_address& owner,
                    const request_key& key);
   void OnReject(const slot_rejection& rejection);
+  // Records an announcement that was read here, or reported by a holder.
+  void OnEndpointLeaving(const std::string& id,
+                         std::uint64_t started_unix_ms,
+                         std::string_view source);
   void ExcludeOwner(const network_address& owner);
   void RunTimer();
   void CheckUnansweredRequests();
@@ -155,6 +165,7 @@
   monotonic_time shard_states_logged_at_;
   std::uint64_t owner_failures_ = 0;
   std::uint64_t stale_grants_ = 0;
+  std::uint64_t announced_leavings_ = 0;
   std::uint64_t datagrams_refused_ = 0;
   bool is_stopped_ = false;
 };
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -103,6 +103,12 @@
         fields.push_back({message.load->running, message.load->waiting,
                           message.load->slots, message.load->slowdown});
       }
+      if (message.leaving_endpoint) {
+        if (!message.load)
+          fields.push_back(nullptr);
+        fields.push_back({message.leaving_endpoint->id,
+                          message.leaving_endpoint->started_unix_ms});
+      }
       break;
     case slot_message_type::kQueued:
     case slot_message_type::kCancel:
@@ -151,12 +157,17 @@
         message.attempt = fields.at(5).get<std::uint64_t>();
         message.outcome = static_cast<attempt_outcome>(
             ReadEnumerator(fields.at(6), kLastOutcome));
-        if (fields.size() > 7) {
+        if (fields.size() > 7 && !fields.at(7).is_null()) {
           const json& load = fields.at(7);
           message.load =
               endpoint_load{load.at(0).get<int>(), load.at(1).get<int>(),
                             load.at(2).get<int>(), load.at(3).get<double>()};
         }
+        if (fields.size() > 8) {
+          const json& leaving = fields.at(8);
+          message.leaving_endpoint = {leaving.at(0).get<std::string>(),
+                                      leaving.at(1).get<std::uint64_t>()};
+        }
         break;
       case slot_message_type::kQueued:
       case slot_message_type::kCancel:
--- a/modules/slot_link/slot_message.h
+++ b/modules/slot_link/slot_message.h
@@ -3,6 +3,7 @@
 #ifndef MODULES_SLOT_LINK_SLOT_MESSAGE_H_
 #define MODULES_SLOT_LINK_SLOT_MESSAGE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,12 @@
   kCancel,  // The request no longer needs a slot.
 };
 
+// One start of an endpoint.
+struct endpoint_start {
+  std::string id;
+  std::uint64_t started_unix_ms = 0;
+};
+
 struct slot_message {
   slot_message_type type = slot_message_type::kSubmit;
   service_shard shard;
@@ -35,6 +42,8 @@
   time_span retry_after{0};                            // Reject.
   attempt_outcome outcome = attempt_outcome::kBroken;  // Report.
   std::optional<endpoint_load> load;                   // Report.
+  // Report: the attempt's endpoint, if it has announced that it leaves.
+  std::optional<endpoint_start> leaving_endpoint;
 };
 
 // Times are encoded relative to `now`, because the clocks of entry VMs differ.
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -544,18 +544,19 @@
     departed_.erase(entry->id);
     const endpoint_entry* known = endpoints_->Find(entry->id);
     const bool was_leaving = known != nullptr && known->is_leaving;
+    const bool is_new = known == nullptr;
+    endpoints_->Put(*entry);
+    const bool is_leaving = endpoints_->Find(entry->id)->is_leaving;
     // The first listing of a large fleet has too many for a line each.
-    const bool is_news =
-        known == nullptr ? has_listing_ : was_leaving != entry->is_leaving;
+    const bool is_news = is_new ? has_listing_ : was_leaving != is_leaving;
     if (is_news) {
       Log(log_level::kInfo, "endpoint_listed",
           {{"endpoint", entry->id},
            {"service", entry->service},
            {"address", entry->address.ToString()},
-           {"leaving", entry->is_leaving ? "true" : "false"},
+           {"leaving", is_leaving ? "true" : "false"},
            {"revision", revision}});
     }
-    endpoints_->Put(*entry);
     return;
   }
   if (!change.endpoint_id.empty())
--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -2,11 +2,21 @@
 #include "servers/discovery/endpoint_registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace papayakeel {
 
-bool endpoint_registry::Put(const endpoint_entry& entry) {
+namespace {
+
+// Announcements of endpoints that are no longer listed, at most.
+constexpr std::size_t kMaxUnlistedAnnouncements = 1024;
+
+}  // namespace
+
+bool endpoint_registry::Put(const endpoint_entry& reported) {
+  endpoint_entry entry = reported;
+  entry.is_leaving |= HasAnnouncedLeaving(entry.id, entry.started_unix_ms);
   const auto found = entries_.find(entry.id);
   if (found == entries_.end()) {
     entries_.emplace(entry.id, entry);
@@ -35,6 +45,42 @@
   return true;
 }
 
+bool endpoint_registry::MarkLeaving(const std::string& id,
+                                    std::uint64_t started_unix_ms) {
+  const auto announced = announced_.find(id);
+  const bool is_news =
+      announced == announced_.end() || announced->second < started_unix_ms;
+  if (!is_news)
+    return false;
+  announced_[id] = started_unix_ms;
+  DropOldAnnouncements();
+  const auto found = entries_.find(id);
+  const bool changes_entry = found != entries_.end() &&
+                             found->second.started_unix_ms == started_unix_ms &&
+                             !found->second.is_leaving;
+  if (changes_entry) {
+    found->second.is_leaving = true;
+    Notify(std::string(found->second.service));
+  }
+  return true;
+}
+
+bool endpoint_registry::HasAnnouncedLeaving(
+    const std::string& id,
+    std::uint64_t started_unix_ms) const {
+  const auto announced = announced_.find(id);
+  return announced != announced_.end() && announced->second == started_unix_ms;
+}
+
+void endpoint_registry::DropOldAnnouncements() {
+  if (announced_.size() <= entries_.size() + kMaxUnlistedAnnouncements)
+    return;
+  for (auto each = announced_.begin(); each != announced_.end();) {
+    const bool is_listed = entries_.count(each->first) > 0;
+    each = is_listed ? std::next(each) : announced_.erase(each);
+  }
+}
+
 void endpoint_registry::Remove(const std::string& id) {
   const auto found = entries_.find(id);
   if (found == entries_.end())
--- a/servers/discovery/endpoint_registry.h
+++ b/servers/discovery/endpoint_registry.h
@@ -3,6 +3,7 @@
 #ifndef SERVERS_DISCOVERY_ENDPOINT_REGISTRY_H_
 #define SERVERS_DISCOVERY_ENDPOINT_REGISTRY_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -29,6 +30,13 @@
   bool Put(const endpoint_entry& entry);
   // Removes an entry; an unknown id is ignored.
   void Remove(const std::string& id);
+  // Records that the start `started_unix_ms` of an endpoint has announced its
+  // leaving itself. It stays leaving, whatever its entry says, until it starts
+  // again. Returns false when that is known already.
+  bool MarkLeaving(const std::string& id, std::uint64_t started_unix_ms);
+  // Whether the start has announced its leaving itself.
+  bool HasAnnouncedLeaving(const std::string& id,
+                           std::uint64_t started_unix_ms) const;
   // Removes every entry whose id is not in `ids`. Used after a full listing of
   // the store.
   void RetainOnly(const std::set<std::string>& ids);
@@ -43,6 +51,7 @@
 
  private:
   void Notify(const std::string& service) const;
+  void DropOldAnnouncements();
 
   void AddToService(const endpoint_entry& entry);
   void RemoveFromService(const endpoint_entry& entry);
@@ -51,6 +60,10 @@
   // Sorted ids of the entries of each service. A service without entries has no
   // key.
   std::map<std::string, std::vector<std::string>> ids_by_service_;
+  // Start times of the endpoints that announced their leaving, by id. Kept for
+  // some time after the entry is removed: a store that comes back from an older
+  // copy may list it again.
+  std::map<std::string, std::uint64_t> announced_;
   std::vector<listener> listeners_;
 };
 
--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "drivers/event_loop.h"
 #include "platform/platform_contracts.h"
@@ -224,4 +226,73 @@
   LONGS_EQUAL(4, server->connections());
 }
 
+// Guards against an announced leaving that nobody hears, because the answer is
+// a refusal, a status check or the late answer to another request, and against
+// other values and other endpoints' words that are taken for one.
+TEST(endpoint_link, HearsThatAnEndpointLeaves) {
+  struct announcement {
+    const char* name;
+    std::string request_id;
+    std::string bytes;
+    bool is_heard;
+  };
+  const std::string leaving = Names().endpoint_leaving + ": 1\r\n";
+  const auto add = [](const std::string& answer, const std::string& lines) {
+    const std::size_t end = answer.find("\r\n") + 2;
+    return answer.substr(0, end) + lines + answer.substr(end);
+  };
+  const std::string check = "HTTP/1.1 503 Draining\r\n" + Names().endpoint_id;
+  const std::string end = "\r\nContent-Length: 0\r\n\r\n";
+  const std::vector<announcement> announcements = {
+      {"answer", "r1", add(Answer("r1"), leaving), true},
+      {"refusal", "r1", add(Refusal("r1"), leaving), true},
+      {"status check", "", add(check + ": i-1" + end, leaving), true},
+      {"check of another", "", add(check + ": i-2" + end, leaving), false},
+      {"late answer", "r1", add(Answer("r0"), leaving) + Answer("r1"), true},
+      {"several", "r1",
+       add(Answer("r1"), Names().endpoint_leaving + ": 0\r\n" + leaving), true},
+      {"misdirected", "r1",
+       "HTTP/1.1 421 Misdirected\r\n" + leaving + Names().not_run + ": 1\r\n" +
+           Names().request_id + ": r1" + end,
+       false},
+      {"zero", "r1", add(Answer("r1"), Names().endpoint_leaving + ": 0\r\n"),
+       false},
+      {"empty", "r1", add(Answer("r1"), Names().endpoint_leaving + ":\r\n"),
+       false},
+      {"text", "r1", add(Answer("r1"), Names().endpoint_leaving + ": yes\r\n"),
+       false},
+      {"none", "r1", Answer("r1"), false},
+  };
+  for (const announcement& each : announcements) {
+    int heard = 0;
+    link->SetLeavingHook([&heard](const endpoint_exchange& exchange) {
+      STRCMP_EQUAL("i-1", exchange.endpoint_id.c_str());
+      ++heard;
+    });
+    Serve([&each](std::size_t, std::size_t, const std::string&) {
+      return server_script{each.bytes, "", {}};
+    });
+    Exchange(each.request_id);
+    LONGS_EQUAL_TEXT(each.is_heard ? 1 : 0, heard, each.name);
+  }
+}
+
+// Guards against a request that is written on a connection which took so long
+// to open that the endpoint has left meanwhile.
+TEST(endpoint_link, AsksAgainBeforeItWritesOnANewConnection) {
+  Serve([](std::size_t, std::size_t, const std::string& header) {
+    return server_script{Answer(IdOf(header)), "", {}};
+  });
+  endpoint_exchange exchange = MakeExchange("r1");
+  exchange.may_send = [] { return false; };
+  std::optional<endpoint_result> result;
+  link->Begin(std::move(exchange),
+              [&result](endpoint_result ended) { result = std::move(ended); });
+  while (!result)
+    loop->context().run_for(milliseconds(1));
+  STRCMP_EQUAL("unreachable", ToString(result->outcome));
+  loop->context().run_for(milliseconds(20));
+  LONGS_EQUAL(0, server->requests());
+}
+
 }  // namespace papayakeel
--- a/tests/modules/slot_link/slot_message_test.cc
+++ b/tests/modules/slot_link/slot_message_test.cc
@@ -55,6 +55,18 @@
       receiver);
   CHECK(report.outcome == attempt_outcome::kRejected);
   DOUBLES_EQUAL(4.5, report.load->slowdown, 0.001);
+  CHECK_FALSE(report.leaving_endpoint.has_value());
+  slot_message leaving_report = MakeMessage(slot_message_type::kReport);
+  leaving_report.leaving_endpoint = {"i-1", 1000};
+  for (const bool has_load : {true, false}) {
+    if (!has_load)
+      leaving_report.load.reset();
+    const slot_message leaving =
+        *DecodeSlotMessage(EncodeSlotMessage(leaving_report, sender), receiver);
+    CHECK(leaving.load.has_value() == has_load);
+    STRCMP_EQUAL("i-1", leaving.leaving_endpoint->id.c_str());
+    LONGS_EQUAL(1000, leaving.leaving_endpoint->started_unix_ms);
+  }
   const slot_message reject = *DecodeSlotMessage(
       EncodeSlotMessage(MakeMessage(slot_message_type::kReject), sender),
       receiver);
--- a/tests/platform/process/platform_path_test.cc
+++ b/tests/platform/process/platform_path_test.cc
@@ -187,6 +187,37 @@
   LONGS_EQUAL(before, site.RunsOn(0) + site.RunsOn(1));
 }
 
+// Guards against requests to an endpoint after one of its answers has said that
+// it leaves, while its entry does not say so.
+TEST(platform_path, EndpointThatAnnouncesItsLeavingGetsNothing) {
+  Start(3, 2, milliseconds(5));
+  site.AnnounceLeaving(0);
+  LONGS_EQUAL(60, LookTimes(0, 30) + LookTimes(1, 30));
+  const int before = site.RunsOn(0);
+  LONGS_EQUAL(60, LookTimes(0, 30) + LookTimes(1, 30));
+  LONGS_EQUAL(before, site.RunsOn(0));
+  // A later report of the same start changes nothing.
+  site.Register(0, false);
+  std::this_thread::sleep_for(milliseconds(800));
+  LONGS_EQUAL(60, LookTimes(0, 30) + LookTimes(1, 30));
+  LONGS_EQUAL(before, site.RunsOn(0));
+}
+
+// Guards against a new owner that has not heard the announcement and sends the
+// requests of those that have to the endpoint.
+TEST(platform_path, NewOwnersDoNotUndoAnAnnouncedLeaving) {
+  Start(3, 3, milliseconds(5));
+  site.AnnounceLeaving(0);
+  LONGS_EQUAL(90, LookTimes(0, 30) + LookTimes(1, 30) + LookTimes(2, 30));
+  const int before = site.RunsOn(0);
+  for (const std::size_t lost : {0, 1}) {
+    site.entry_vm(lost).Kill();
+    site.RestartEntryVm(lost);
+    LookTimes(2, 40);
+  }
+  LONGS_EQUAL(before, site.RunsOn(0));
+}
+
 // Guards against once-only requests that are sent to further endpoints after
 // their caller has left: only what an endpoint may have begun goes on.
 TEST(platform_path, NothingIsSentAfterTheCallerHasLeft) {
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -237,6 +237,8 @@
                             std::string(ToStringView(request.target())) + "\n");
   response.set("Papayakeel-Server-Load", "0,0,2,100");
   response.set("Papayakeel-Instance-Id", endpoint.id);
+  if (endpoint.announces_leaving)
+    response.set("Server-Leaving", "1");
   if (request.target() == "/health")
     return exchange.respond(std::move(response));
   const std::string expected(request["Papayakeel-Expect-Instance"]);
@@ -271,6 +273,10 @@
   Run([&] { endpoints_.at(endpoint)->is_rejecting = true; });
 }
 
+void platform_stand_in::AnnounceLeaving(std::size_t endpoint) {
+  Run([&] { endpoints_.at(endpoint)->announces_leaving = true; });
+}
+
 int platform_stand_in::ArrivalsOf(const std::string& request_id) {
   int arrivals = 0;
   Run([&] { arrivals = arrivals_[request_id]; });
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -69,6 +69,8 @@
   void Unregister(std::size_t endpoint);
   // From now on it answers, after its work time, that it has not run requests.
   void Reject(std::size_t endpoint);
+  // From now on all its answers say that it leaves; its entry does not.
+  void AnnounceLeaving(std::size_t endpoint);
   // How often a request reached any endpoint.
   int ArrivalsOf(const std::string& request_id);
   // How often an endpoint ran the request, or any request.
@@ -104,6 +106,7 @@
     std::string id;
     time_span work{0};
     bool is_rejecting = false;
+    bool announces_leaving = false;
     int registrations = 0;
     bool is_leaving = false;
     bool is_registered = true;
--- a/tests/servers/discovery/endpoint_registry_test.cc
+++ b/tests/servers/discovery/endpoint_registry_test.cc
@@ -59,4 +59,47 @@
   LONGS_EQUAL(0, registry.size());
 }
 
+// Guards against an endpoint that gets work again after it said that it leaves,
+// because its entry, or a restored store, lists it as ready.
+TEST(endpoint_registry, AnnouncedLeavingHoldsForAStart) {
+  endpoint_registry registry;
+  registry.Put(MakeEntry("i-1", 1000, 1));
+  std::vector<std::string> reported;
+  registry.Subscribe(
+      [&reported](const std::string& service) { reported.push_back(service); });
+  CHECK(registry.MarkLeaving("i-1", 1000));
+  CHECK_FALSE(registry.MarkLeaving("i-1", 1000));
+  LONGS_EQUAL(1, reported.size());
+  CHECK(registry.Find("i-1")->is_leaving);
+  registry.Put(MakeEntry("i-1", 1000, 2));
+  CHECK(registry.Find("i-1")->is_leaving);
+  registry.Remove("i-1");
+  registry.Put(MakeEntry("i-1", 1000, 3));
+  CHECK(registry.Find("i-1")->is_leaving);
+  registry.Put(MakeEntry("i-1", 2000, 1));
+  CHECK_FALSE(registry.Find("i-1")->is_leaving);
+  // A late answer of the earlier start.
+  CHECK_FALSE(registry.HasAnnouncedLeaving("i-1", 2000));
+  registry.MarkLeaving("i-1", 1000);
+  CHECK_FALSE(registry.Find("i-1")->is_leaving);
+}
+
+// Guards against announcements that fill the memory: ids are new with each
+// start of an endpoint.
+TEST(endpoint_registry, AnnouncementsOfEndpointsThatLeftAreDropped) {
+  endpoint_registry registry;
+  registry.Put(MakeEntry("i-0", 1000, 1));
+  for (int index = 0; index < 5000; ++index)
+    registry.MarkLeaving("i-" + std::to_string(index), 1000);
+  CHECK(registry.HasAnnouncedLeaving("i-0", 1000));
+  CHECK(registry.HasAnnouncedLeaving("i-4999", 1000));
+  int kept = 0;
+  for (int index = 0; index < 5000; ++index) {
+    kept += registry.HasAnnouncedLeaving("i-" + std::to_string(index), 1000)
+                ? 1
+                : 0;
+  }
+  CHECK(kept < 2000);
+}
+
 }  // namespace papayakeel
