--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -128,8 +128,10 @@
   endpoint_exchange exchange;
   exchange.endpoint_id = grant.endpoint.id;
   exchange.endpoint_started_unix_ms = grant.endpoint.started_unix_ms;
-  exchange.may_send = [self = shared_from_this(), endpoint = grant.endpoint] {
-    return self->services_.slots->IsUsable(endpoint);
+  // An idle connection keeps its last exchange, which must not keep the
+  // request.
+  exchange.may_send = [slots = services_.slots, endpoint = grant.endpoint] {
+    return slots->IsUsable(endpoint);
   };
   exchange.address = grant.endpoint.address;
   exchange.header = MakeHeader(grant);
--- a/modules/http/body_compression.cc
+++ b/modules/http/body_compression.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+// Makes zlib take its input as const.
+#define ZLIB_CONST
 #include <zlib.h>
 
 namespace papayakeel {
@@ -15,10 +17,8 @@
 
 constexpr std::size_t kFirstOutputBytes = 64 << 10;
 
-// zlib does not write to its input, but takes a pointer to non-const bytes.
 void SetInput(z_stream& stream, std::string_view bytes) {
-  stream.next_in =
-      reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));  // NOLINT
+  stream.next_in = reinterpret_cast<const Bytef*>(bytes.data());
   stream.avail_in = static_cast<uInt>(bytes.size());
 }
 
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -152,28 +152,33 @@
   fetch.max_timeout = IsFollowing() ? kMaxRelayTime : kMaxStoreTime;
   fetch.max_answer_bytes = kMaxAnswerBytes;
   fetch.on_progress = [this](std::size_t bytes) { call_bytes_ += bytes; };
-  papayakeel::Fetch(
-      loop_->context(), std::move(fetch),
-      [this, handle](const fetch_result& answer) {
-        if (is_stopped_)
-          return;
-        const monotonic_time received_at = event_loop::Now();
-        const std::size_t bytes = call_bytes_;
-        const monotonic_time called_at = call_started_at_;
-        const network_address source = source_;
-        (this->*handle)(answer);
-        if (bytes < kLargeAnswerBytes)
-          return;
-        const monotonic_time now = event_loop::Now();
-        Log(log_level::kInfo, "large_state_answer",
-            {{"source", source.ToString()},
-             {"bytes", std::to_string(bytes)},
-             {"took_ms",
-              std::to_string(ToMilliseconds(received_at - called_at))},
-             {"applied_ms", std::to_string(ToMilliseconds(now - received_at))},
-             {"era", std::to_string(position_.era)},
-             {"revision", std::to_string(position_.revision)}});
-      });
+  papayakeel::Fetch(loop_->context(), std::move(fetch),
+                    [this, handle](const fetch_result& answer) {
+                      if (is_stopped_)
+                        return;
+                      const monotonic_time received_at = event_loop::Now();
+                      const std::size_t bytes = call_bytes_;
+                      const monotonic_time called_at = call_started_at_;
+                      const network_address source = source_;
+                      (this->*handle)(answer);
+                      if (bytes >= kLargeAnswerBytes) {
+                        LogLargeAnswer(source, bytes, received_at - called_at,
+                                       event_loop::Now() - received_at);
+                      }
+                    });
+}
+
+void state_feed::LogLargeAnswer(const network_address& source,
+                                std::size_t bytes,
+                                time_span took,
+                                time_span applied) const {
+  Log(log_level::kInfo, "large_state_answer",
+      {{"source", source.ToString()},
+       {"bytes", std::to_string(bytes)},
+       {"took_ms", std::to_string(ToMilliseconds(took))},
+       {"applied_ms", std::to_string(ToMilliseconds(applied))},
+       {"era", std::to_string(position_.era)},
+       {"revision", std::to_string(position_.revision)}});
 }
 
 void state_feed::List(const std::string& after_key) {
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -80,6 +80,11 @@
   void Fetch(const std::string& target,
              time_span timeout,
              void (state_feed::*handle)(const fetch_result&));
+  // `took` is the time until the answer had arrived, `applied` the time since.
+  void LogLargeAnswer(const network_address& source,
+                      std::size_t bytes,
+                      time_span took,
+                      time_span applied) const;
   // Returns the entry VMs to read from instead of the store, in order of
   // preference. Empty when this process reads the store itself. Updates
   // `is_reader_`.
--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -14,12 +14,12 @@
 
 }  // namespace
 
-bool endpoint_registry::Put(const endpoint_entry& reported) {
-  endpoint_entry entry = reported;
-  entry.is_leaving |= HasAnnouncedLeaving(entry.id, entry.started_unix_ms);
+bool endpoint_registry::Put(const endpoint_entry& entry) {
+  endpoint_entry stored = entry;
+  stored.is_leaving |= HasAnnouncedLeaving(entry.id, entry.started_unix_ms);
   const auto found = entries_.find(entry.id);
   if (found == entries_.end()) {
-    entries_.emplace(entry.id, entry);
+    entries_.emplace(entry.id, std::move(stored));
     AddToService(entry);
     Notify(entry.service);
     return true;
@@ -29,14 +29,14 @@
     return false;
   const std::string previous_service = known.service;
   const bool is_same =
-      known.started_unix_ms == entry.started_unix_ms &&
-      known.service == entry.service && known.address == entry.address &&
-      known.slots == entry.slots && known.is_leaving == entry.is_leaving;
+      known.started_unix_ms == stored.started_unix_ms &&
+      known.service == stored.service && known.address == stored.address &&
+      known.slots == stored.slots && known.is_leaving == stored.is_leaving;
   if (previous_service != entry.service) {
     RemoveFromService(known);
     AddToService(entry);
   }
-  known = entry;
+  known = std::move(stored);
   if (is_same)
     return true;
   Notify(entry.service);
@@ -52,8 +52,8 @@
       announced == announced_.end() || announced->second < started_unix_ms;
   if (!is_news)
     return false;
-  announced_[id] = started_unix_ms;
   DropOldAnnouncements();
+  announced_[id] = started_unix_ms;
   const auto found = entries_.find(id);
   const bool changes_entry = found != entries_.end() &&
                              found->second.started_unix_ms == started_unix_ms &&
