--- a/tests/modules/state_feed/large_state_test.cc
+++ b/tests/modules/state_feed/large_state_test.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "drivers/event_loop.h"
 #include "modules/state_feed/state_feed.h"
 #include "modules/state_feed/state_relay.h"
@@ -46,9 +48,6 @@
 // endpoint gets no more work in a fleet that has readers.
 constexpr time_span kDrainLimit = milliseconds(2500);
 
-// The same on all VMs.
-constexpr std::uint16_t kRelayPort = 28417;
-
 std::string LargeState(int version) {
   std::vector<std::string> prefixes;
   for (int index = 0; index < kRoutes; ++index) {
@@ -67,6 +66,7 @@
   std::vector<std::unique_ptr<throttled_link>> links;
   std::vector<member> members;
   std::vector<std::unique_ptr<feed_process>> vms;
+  std::uint16_t relay_port = 0;  // The same on all VMs.
 
   void teardown() override {
     for (const std::unique_ptr<feed_process>& vm : vms)
@@ -97,6 +97,11 @@
   void StartFleet() {
     StartStore();
     const network_address store_link = links.front()->address();
+    using boost::asio::ip::tcp;
+    relay_port =
+        tcp::acceptor(context, {boost::asio::ip::make_address("127.77.9.9"), 0})
+            .local_endpoint()
+            .port();
     for (std::size_t index = 0; index < kMembers; ++index) {
       member vm;
       vm.peer_address = {HostOf("127.77.30", index), 7000};
@@ -104,14 +109,14 @@
       members.push_back(vm);
     }
     for (std::size_t index = 0; index < kReaders + kFollowers; ++index) {
-      const network_address relay = {HostOf("127.77.31", index), kRelayPort};
+      const network_address relay = {HostOf("127.77.31", index), relay_port};
       vms.push_back(std::make_unique<feed_process>());
       vms.back()->Start(store_link, relay, members[index]);
       CHECK(vms.back()->Find<state_relay>()->Listen());
       if (index < kReaders) {
         links.push_back(std::make_unique<throttled_link>(
             context,
-            network_address{members[index].peer_address.host, kRelayPort},
+            network_address{members[index].peer_address.host, relay_port},
             relay, kReaderBytesPerSecond));
       }
       std::vector<member> others = members;
