--- a/tests/modules/state_feed/large_state_test.cc
+++ b/tests/modules/state_feed/large_state_test.cc
@@ -50,6 +50,7 @@
 
 std::string LargeState(int version) {
   std::vector<std::string> prefixes;
+  prefixes.reserve(kRoutes);
   for (int index = 0; index < kRoutes; ++index) {
     // Neither readable words nor all alike, as users' paths are.
     prefixes.push_back("/" + std::to_string(index * 7919 % 10007) + "/" +
--- a/tests/modules/support/throttled_link.h
+++ b/tests/modules/support/throttled_link.h
@@ -40,7 +40,6 @@
   void ReadFromServer(const std::shared_ptr<connection>& forwarded);
   void Deliver();
 
-  boost::asio::io_context& context_;
   const network_address server_;
   const std::size_t bytes_per_second_;
   boost::asio::ip::tcp::acceptor acceptor_;
