Drop a counter that no test reads

The throttled link of the tests counted what it delivered. The formatter and both large_state tests pass; no other check was run on this commit.

--- a/tests/modules/support/throttled_link.cc
+++ b/tests/modules/support/throttled_link.cc
@@ -2,6 +2,7 @@
 #include "tests/modules/support/throttled_link.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -152,7 +153,6 @@
       continue;
     }
     each->waiting.erase(0, size);
-    delivered_bytes_ += size;
     ReadFromServer(each);
   }
   timer_.expires_after(kDeliveryInterval);
--- a/tests/modules/support/throttled_link.h
+++ b/tests/modules/support/throttled_link.h
@@ -3,9 +3,7 @@
 #ifndef TESTS_MODULES_SUPPORT_THROTTLED_LINK_H_
 #define TESTS_MODULES_SUPPORT_THROTTLED_LINK_H_
 
-#include <array>
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,7 +28,6 @@
   ~throttled_link();
 
   network_address address() const;
-  std::uint64_t delivered_bytes() const { return delivered_bytes_; }
 
  private:
   struct connection;
@@ -45,7 +42,6 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_;
   monotonic_time delivered_at_;
-  std::uint64_t delivered_bytes_ = 0;
   std::vector<std::shared_ptr<connection>> connections_;
 };
 
