--- a/review/1/fleet_stop.cc
+++ b/review/1/fleet_stop.cc
@@ -78,8 +78,8 @@
   }
   for (vm_end& each : ends) {
     const time_span left = each.told_at + kGrace - Now();
-    each.status = site.entry_vm(each.vm).Wait(
-        std::chrono::duration_cast<milliseconds>(
+    each.status =
+        site.entry_vm(each.vm).Wait(std::chrono::duration_cast<milliseconds>(
             std::max(left, time_span(milliseconds(1)))));
     if (!each.status)
       site.entry_vm(each.vm).Kill();
@@ -115,8 +115,8 @@
   hooks.newest_state = [] { return 0; };
   std::vector<std::unique_ptr<soak_caller>> callers;
   for (std::size_t index = 0; index < kCallers; ++index) {
-    callers.push_back(std::make_unique<soak_caller>(
-        "c" + std::to_string(index), index + 1, kVms, hooks));
+    callers.push_back(std::make_unique<soak_caller>("c" + std::to_string(index),
+                                                    index + 1, kVms, hooks));
   }
   std::this_thread::sleep_for(kCalm);
   const monotonic_time start = Now();
--- a/review/build.sh
+++ b/review/build.sh
@@ -14,7 +14,7 @@
   tests/platform/process/platform_stand_in.cc
   tests/platform/soak/soak_caller.cc tests/platform/soak/fault_plan.cc
   tests/process/support/child_process.cc tests/process/support/test_client.cc
-  tests/process/support/tcp_relay.cc)
+  tests/process/support/tcp_relay.cc review/support/working_endpoint.cc)
 programs=(review/[0-9]/*.cc)
 
 object_of() { echo "$out/$(basename "${1%.cc}").o"; }
