Let leaving members perform the duties of a fleet that stops as a whole

Cause: SelectMembersForDuty returned alive members only. When all members leave, none is alive, not even the process for itself. state_feed::ChooseRelays took a remainder by the number of readers, 0, and rotated an empty vector. slot_link::OwnerOf met the same empty set and made each VM the owner of every shard.

The selection now falls back on leaving members, which work until they end; it is never empty for the members of a directory. So three VMs read the store for a stopping fleet and one owns each shard, as in a running one. A check for no relay stays in ChooseRelays, because the selection may be empty by its contract.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -424,6 +424,8 @@
     }
     relays.push_back({each.peer_address.host, settings_.relay_listen.port});
   }
+  if (relays.empty())
+    return {};
   // Hashing the VM name distributes the followers over the readers.
   const std::size_t first =
       (std::hash<std::string>()(settings_.vm_name) + relay_rotation_) %
--- a/servers/placement/duty_placement.cc
+++ b/servers/placement/duty_placement.cc
@@ -15,6 +15,19 @@
 // equally suitable.
 constexpr double kMinCapacityRatio = 0.8;
 
+// Returns the members in `state` that are not excluded.
+std::vector<const member*> MembersIn(
+    member_state state,
+    const std::vector<member>& members,
+    const std::function<bool(const member&)>& is_excluded) {
+  std::vector<const member*> found;
+  for (const member& each : members) {
+    if (each.state == state && (!is_excluded || !is_excluded(each)))
+      found.push_back(&each);
+  }
+  return found;
+}
+
 }  // namespace
 
 std::vector<member> SelectMembersForDuty(
@@ -22,16 +35,15 @@
     const std::vector<member>& members,
     std::size_t count,
     const std::function<bool(const member&)>& is_excluded) {
-  std::vector<const member*> usable;
+  std::vector<const member*> usable =
+      MembersIn(member_state::kAlive, members, is_excluded);
+  // In a fleet that stops as a whole, nobody is alive, but leaving members work
+  // until they end.
+  if (usable.empty())
+    usable = MembersIn(member_state::kLeaving, members, is_excluded);
   std::uint64_t largest = 0;
-  for (const member& each : members) {
-    const bool is_usable = each.state == member_state::kAlive &&
-                           (!is_excluded || !is_excluded(each));
-    if (!is_usable)
-      continue;
-    usable.push_back(&each);
-    largest = std::max(largest, each.capacity);
-  }
+  for (const member* each : usable)
+    largest = std::max(largest, each->capacity);
   const double min_capacity = kMinCapacityRatio * static_cast<double>(largest);
   std::vector<std::pair<std::uint64_t, const member*>> ranked;
   for (const member* each : usable) {
--- a/servers/placement/duty_placement.h
+++ b/servers/placement/duty_placement.h
@@ -14,9 +14,12 @@
 
 namespace papayakeel {
 
-// Returns up to `count` live members for the duty `name`, in descending order
-// of rendezvous weight, among those with close to the largest processor
-// capacity. `is_excluded` is optional.
+// Returns up to `count` members for the duty `name`, in descending order of
+// rendezvous weight, among those with close to the largest processor capacity.
+// Members that are leaving are chosen only when none is alive; suspect and dead
+// ones never are. `is_excluded` is optional. The result is empty when no member
+// is left: never for the members of an `entry_directory` without exclusions,
+// because they contain the process itself, which is alive or leaving.
 std::vector<member> SelectMembersForDuty(
     std::string_view name,
     const std::vector<member>& members,
--- a/tests/modules/state_feed/fleet_start_test.cc
+++ b/tests/modules/state_feed/fleet_start_test.cc
@@ -1,8 +1,9 @@
 // The load of a whole fleet that starts at once, also after all its VMs lost
 // power: what it costs the store until every VM has its first listing and reads
-// on from others.
+// on from others. And that of a whole fleet that stops at once.
 #include <algorithm>
 #include <cstdio>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,6 +35,10 @@
 // One VM in this many has more capacity.
 constexpr std::size_t kLargeVmShare = 30;
 constexpr std::size_t kSeeds = 3;
+// The number of VMs that read the store on behalf of a large fleet.
+constexpr std::ptrdiff_t kReaders = 3;
+// A change must be in force everywhere within this time.
+constexpr seconds kApplyLimit{2};
 
 struct call_counts {
   int outdated = 0;  // Listings that cost a tenth.
@@ -122,6 +127,24 @@
     }
   }
 
+  // All VMs are told to stop, and each learns it of all others.
+  void LeaveTogether() {
+    for (member& each : members)
+      each.state = member_state::kLeaving;
+    for (const std::unique_ptr<feed_process>& vm : vms) {
+      vm->Find<entry_directory>()->UpdateSelf(
+          [](member& self) { self.state = member_state::kLeaving; });
+    }
+    Join();
+  }
+
+  std::ptrdiff_t CountVms(
+      const std::function<bool(const feed_process&)>& is_counted) const {
+    return std::count_if(vms.begin(), vms.end(), [&is_counted](const auto& vm) {
+      return is_counted(*vm);
+    });
+  }
+
   bool AllAreListed() const {
     return std::all_of(vms.begin(), vms.end(), [](const auto& vm) {
       return vm->template Find<state_feed>()->has_listing() &&
@@ -159,4 +182,25 @@
   CHECK(CostOfStart(141, milliseconds(0)) < 1.5 * 141);
 }
 
+// Guards against a fleet that stops as a whole and whose processes crash
+// because nobody is left to read the store for them, or each read it
+// themselves.
+TEST(fleet_start, FewReadTheStoreForAFleetThatStops) {
+  CostOfStart(141, milliseconds(300));
+  LeaveTogether();
+  RunFor(seconds(1));
+  const std::ptrdiff_t readers = CountVms([](const feed_process& vm) {
+    return vm.Find<state_feed>()->is_last_answer_from_store();
+  });
+  CHECK(readers > 0);
+  CHECK(readers <= kReaders);
+
+  store->Put(platform::MakeEndpointKey(kEndpoints),
+             platform::MakeEndpointValue({kEndpoints}));
+  RunFor(kApplyLimit);
+  LONGS_EQUAL(vms.size(), CountVms([](const feed_process& vm) {
+                return vm.Find<endpoint_registry>()->size() == kEndpoints + 1;
+              }));
+}
+
 }  // namespace papayakeel
--- a/tests/servers/placement/duty_placement_test.cc
+++ b/tests/servers/placement/duty_placement_test.cc
@@ -58,4 +58,28 @@
   CHECK(third.front().peer_address != second.peer_address);
 }
 
+// Guards against a fleet that stops as a whole and has nobody for a duty, so
+// that each VM performs it alone, and against a choice of VMs that are not
+// known to run.
+TEST(duty_placement, LeavingVmsServeWhenNoneIsAlive) {
+  std::vector<member> fleet = MakeFleet(14, 0);
+  for (member& each : fleet)
+    each.state = member_state::kLeaving;
+  std::vector<member> shuffled(fleet.rbegin(), fleet.rend());
+  const std::vector<member> chosen = SelectMembersForDuty("bokning", fleet, 3);
+  LONGS_EQUAL(3, chosen.size());
+  CHECK(chosen.front().peer_address ==
+        SelectMembersForDuty("bokning", shuffled, 3).front().peer_address);
+
+  fleet.front().state = member_state::kAlive;
+  const std::vector<member> alive = SelectMembersForDuty("bokning", fleet, 3);
+  LONGS_EQUAL(1, alive.size());
+  CHECK(alive.front().peer_address == fleet.front().peer_address);
+
+  for (member& each : fleet)
+    each.state = member_state::kDead;
+  fleet.front().state = member_state::kSuspect;
+  CHECK(SelectMembersForDuty("bokning", fleet, 3).empty());
+}
+
 }  // namespace papayakeel
