Fail process tests when a process ends that nobody told to

The group now waits until each VM has logged all others instead of until it names all their addresses, of which a lookup names only a part in a large fleet.

--- a/tests/platform/process/planned_stop_test.cc
+++ b/tests/platform/process/planned_stop_test.cc
@@ -83,9 +83,15 @@
       site.AddEndpoint(work);
     for (std::size_t index = 0; index < vms; ++index)
       site.AddEntryVm();
+    // A lone VM logs no members.
+    const std::string members =
+        vms == 1 ? "event=started"
+                 : "event=members_changed members=" + std::to_string(vms) + " ";
     CHECK(WaitUntil([&] {
       for (std::size_t index = 0; index < vms; ++index) {
-        if (!site.IsReady(index) || site.AddressesFrom(index).size() != vms)
+        const bool knows_all =
+            site.LogOf(index).find(members) != std::string::npos;
+        if (!knows_all || !site.IsReady(index))
           return false;
       }
       return true;
@@ -183,6 +189,44 @@
   CheckAnswers();
 }
 
+// Guards against a fleet that stops as a whole, a group of VMs at a time, and
+// whose last VMs crash and take the requests at endpoints with them: once the
+// fleet is large, some VMs read the store for all, and nobody is left to.
+TEST(planned_stop, AWholeFleetStopsWithoutCuttingRequests) {
+  constexpr std::size_t kVms = 32;
+  constexpr std::size_t kGroup = 6;
+  constexpr milliseconds kGroupGap{1300};
+  Start(24, kVms, milliseconds(300));
+  std::atomic<bool> has_stopped{false};
+  std::vector<std::thread> callers;
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    callers.emplace_back([this, vm, &has_stopped] {
+      for (int number = 0; !has_stopped; ++number) {
+        held_connection connection(site.CallersOf(vm));
+        Call(connection, std::to_string(vm) + "-" + std::to_string(number));
+        std::this_thread::sleep_for(kSendInterval);
+      }
+    });
+  }
+  std::this_thread::sleep_for(seconds(1));
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    if (vm > 0 && vm % kGroup == 0)
+      std::this_thread::sleep_for(kGroupGap);
+    site.entry_vm(vm).Signal(SIGTERM);
+  }
+  std::vector<std::optional<int>> statuses;
+  for (std::size_t vm = 0; vm < kVms; ++vm)
+    statuses.push_back(site.entry_vm(vm).Wait(seconds(8)));
+  has_stopped = true;
+  for (std::thread& caller : callers)
+    caller.join();
+  for (const std::optional<int>& status : statuses) {
+    CHECK(status.has_value());
+    LONGS_EQUAL(0, *status);
+  }
+  CheckAnswers();
+}
+
 // Guards against a request that waits for a slot when its VM is told to stop,
 // is granted one late and is cut: the endpoints are busy for 2 s.
 TEST(planned_stop, WaitingRequestsAreRefusedInTime) {
--- a/tests/process/support/child_process.h
+++ b/tests/process/support/child_process.h
@@ -1,4 +1,5 @@
-// A process that a test starts, signals and waits for, by its id.
+// A process that a test starts, signals and waits for, by its id. Ends that
+// nobody asked for are recorded, so that no run passes in spite of a crash.
 #ifndef TESTS_PROCESS_SUPPORT_CHILD_PROCESS_H_
 #define TESTS_PROCESS_SUPPORT_CHILD_PROCESS_H_
 
@@ -6,6 +7,7 @@
 
 #include <chrono>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,7 +34,18 @@
 
   pid_t id() const { return id_; }
 
+  // A line for each child process of this program that has ended unasked since
+  // the last call: before it was told to stop, by a signal that nobody sent, or
+  // with a status that the daemon does not use. Ends are noticed by Wait(),
+  // Kill() and the destructor, which must all be called in one thread.
+  static std::vector<std::string> TakeUnrequestedEnds();
+
  private:
+  // Whether an end with `raw_status`, as from waitpid(), was asked for.
+  bool IsRequestedEnd(int raw_status) const;
+
+  const std::string command_;
+  std::set<int> sent_signals_;
   pid_t id_ = -1;
   bool has_ended_ = false;
   int status_ = 0;
