Stop whole fleets in the soak, and fail on ends that nobody asked for

One seed in four stops all VMs, six at a time, and starts them again. Ends of processes that nobody asked for are violations, and a planned stop of another VM no longer excuses a request that a planned stop cuts.

--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -94,6 +94,9 @@
 run_command build/papayakeel_fault_soak --seed 1 --seconds 10
 # A seed whose faults include a store that comes back from an older copy.
 run_command build/papayakeel_fault_soak --seed 154 --seconds 2
+# A seed whose large fleet stops as a whole and starts again.
+run_command build/papayakeel_fault_soak --seed 1 --seconds 6 --vms 32 \
+  --endpoints 24
 
 # Logs of long runs are cut, so failures are named once more at the end.
 for name in "${failures_found[@]}"; do echo "failed: $name"; done
--- a/tests/platform/soak/fault_plan.cc
+++ b/tests/platform/soak/fault_plan.cc
@@ -48,6 +48,8 @@
   // Restores, each with changes before, during and after it.
   void AddRestores();
   void AddChange(time_span at);
+  // In some plans the fleet stops as a whole.
+  void AddFleetStop();
   // Signals, restarts and desired states in quick succession.
   void AddSignals();
 
@@ -116,6 +118,14 @@
   }
 }
 
+void plan_maker::AddFleetStop() {
+  if (Draw(0, 3) > 0)
+    return;
+  const int length_ms = static_cast<int>(ToMilliseconds(size_.length));
+  plan_.push_back(
+      MakeFault(soak_fault::kStopAll, milliseconds(Draw(0, length_ms))));
+}
+
 std::vector<planned_fault> plan_maker::Make() {
   // A quarter each without restores and with little else.
   const int choice = Draw(0, 3);
@@ -125,6 +135,7 @@
     AddRestores();
   if (choice != 1 || Draw(0, 1) == 0)
     AddSignals();
+  AddFleetStop();
   std::stable_sort(plan_.begin(), plan_.end(),
                    [](const planned_fault& left, const planned_fault& right) {
                      return left.at < right.at;
@@ -172,6 +183,8 @@
       return "endpoint_joins";
     case soak_fault::kEndpointsReport:
       return "endpoints_report";
+    case soak_fault::kStopAll:
+      return "stop_all";
   }
   return "unknown";
 }
--- a/tests/platform/soak/fault_plan.h
+++ b/tests/platform/soak/fault_plan.h
@@ -30,6 +30,7 @@
   kStoreRestored,  // Away, then back from an older copy.
   kEndpointJoins,
   kEndpointsReport,  // Each writes its entry again, some of them often.
+  kStopAll,  // SIGTERM for a group of VMs after the other, then new starts.
 };
 
 const char* ToString(soak_fault fault);
@@ -49,6 +50,10 @@
   time_span length = std::chrono::seconds(20);
 };
 
+// kStopAll tells this many VMs to stop at a time, with this pause between.
+constexpr std::size_t kStopGroup = 6;
+constexpr time_span kStopGroupGap = std::chrono::milliseconds(1300);
+
 // Faults in order of time. They come in series and overlap. In most plans the
 // store comes back from older copies; some of these play little else, so that
 // what is left of that is seen. Changes around a restore may come after
--- a/tests/platform/soak/fault_soak.cc
+++ b/tests/platform/soak/fault_soak.cc
@@ -152,6 +152,9 @@
     const std::vector<call_record> calls = caller->Finish();
     record_.calls.insert(record_.calls.end(), calls.begin(), calls.end());
   }
+  for (std::size_t vm = 0; vm < size_.vms; ++vm)
+    site_.entry_vm(vm).Wait(milliseconds(0));
+  record_.unrequested_ends = child_process::TakeUnrequestedEnds();
   for (call_record& call : record_.calls)
     call.runs = site_.RunsOf(call.id);
   for (std::size_t index = 0; index < is_leaving_.size(); ++index) {
@@ -243,6 +246,8 @@
         for (std::size_t vm = 0; vm < size_.vms; ++vm)
           Restart(vm);
       });
+    case soak_fault::kStopAll:
+      return StopAll(planned);
     case soak_fault::kStoreRefuses:
     case soak_fault::kStoreSilent:
       site_.SetStoreFault(planned.kind == soak_fault::kStoreRefuses
@@ -289,6 +294,24 @@
   EndLater(stop, [this, vm] { Restart(vm); });
 }
 
+void fault_soak::StopAll(const planned_fault& planned) {
+  planned_fault stop = planned;
+  stop.lasts = kGrace;
+  for (std::size_t vm = 0; vm < size_.vms; ++vm) {
+    const time_span delay = kStopGroupGap * static_cast<int>(vm / kStopGroup);
+    stop.lasts = std::max(stop.lasts, delay + kGrace);
+    DoLater(delay, [this, vm] {
+      const monotonic_time now = Now();
+      record_.faults.push_back({soak_fault::kStopVm, vm, now, now + kGrace});
+      site_.entry_vm(vm).Signal(SIGTERM);
+    });
+  }
+  EndLater(stop, [this] {
+    for (std::size_t vm = 0; vm < size_.vms; ++vm)
+      Restart(vm);
+  });
+}
+
 void fault_soak::BeginEndpointFault(const planned_fault& planned) {
   const std::size_t endpoint = planned.target % size_.endpoints;
   tcp_relay& relay = RelayOf(endpoint);
--- a/tests/platform/soak/fault_soak.h
+++ b/tests/platform/soak/fault_soak.h
@@ -44,6 +44,8 @@
 
   void Begin(const planned_fault& planned);
   void BeginVmFault(const planned_fault& planned);
+  // Stops the fleet as a whole, a group after the other, and starts it anew.
+  void StopAll(const planned_fault& planned);
   void BeginEndpointFault(const planned_fault& planned);
   // Plays until all of the plan's faults have ended.
   void Play(const std::vector<planned_fault>& plan);
--- a/tests/platform/soak/soak_checks.cc
+++ b/tests/platform/soak/soak_checks.cc
@@ -193,6 +193,11 @@
   }
 }
 
+bool IsPlannedStop(const fault_record& fault) {
+  return fault.kind == soak_fault::kStopVm ||
+         fault.kind == soak_fault::kStopAll;
+}
+
 // Requests that a VM held when it was told to stop are answered.
 void CheckStops(const soak_record& record, std::vector<std::string>& found) {
   for (const fault_record& stop : record.faults) {
@@ -207,7 +212,7 @@
       const bool is_disturbed = std::any_of(
           record.faults.begin(), record.faults.end(),
           [&](const fault_record& other) {
-            return &other != &stop && Disturbs(other, std::nullopt) &&
+            return !IsPlannedStop(other) && Disturbs(other, std::nullopt) &&
                    other.from <= call.ended_at &&
                    other.to + kStable >= call.sent_at;
           });
@@ -220,7 +225,7 @@
 }  // namespace
 
 std::vector<std::string> FindViolations(const soak_record& record) {
-  std::vector<std::string> found;
+  std::vector<std::string> found = record.unrequested_ends;
   for (const call_record& call : record.calls)
     CheckCall(call, found);
   CheckStates(record, found);
--- a/tests/platform/soak/soak_checks_test.cc
+++ b/tests/platform/soak/soak_checks_test.cc
@@ -152,9 +152,20 @@
   record.faults = {
       {soak_fault::kStopVm, 0, start + seconds(1), start + seconds(7)}};
   LONGS_EQUAL(1, Violations());
+  // Stops of other VMs are planned work, too.
+  record.faults.push_back(
+      {soak_fault::kStopVm, 1, start + seconds(1), start + seconds(7)});
+  LONGS_EQUAL(1, Violations());
   record.faults.push_back({soak_fault::kEndpointCut, std::nullopt,
                            start + seconds(1), start + seconds(2)});
   LONGS_EQUAL(0, Violations());
 }
 
+// Guards against a run that passes although a process crashed.
+TEST(soak_checks, FindsAProcessThatEndedUnasked) {
+  record.calls.push_back(MakeCall(200, 1));
+  record.unrequested_ends = {"ended unasked with status 139"};
+  LONGS_EQUAL(1, Violations());
+}
+
 }  // namespace papayakeel::platform
--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -61,6 +61,8 @@
   std::vector<state_record> states;
   std::vector<leaving_record> leaving;
   std::vector<serving_record> serving;
+  // A line for each process that ended although nobody told it to.
+  std::vector<std::string> unrequested_ends;
   // When callers began to press, if they did, and when all stopped.
   std::optional<monotonic_time> pressed_from;
   monotonic_time stopped_at;
