Let the largest unfinished answers give way when answers use up their memory

Reported by another operator: endless bytes of a faulty endpoint end the requests of other clients. Here the memory for answers was bounded, but two faulty answers could hold all of it until their deadline: the announced length counted, and whoever came later was broken off ("no memory for the answer"), also answers to work that may not be repeated.

Only bytes that arrived count now, and the read buffer does too; a body is no longer reserved at its announced length. When the memory is used up, the answers that are still being read give way, those of the endpoint that holds most first, so that an answer is sure of the memory that complete answers leave, divided by the endpoints whose answers are being read.

--- a/modules/endpoint_link/answer_memory.h
+++ b/modules/endpoint_link/answer_memory.h
@@ -1,44 +1,88 @@
 // Memory that all answers of endpoints may take together, from the first byte
 // that is read until the answer is written to its caller.
+//
+// When it is used up, answers that are still being read give way: those of the
+// endpoint that holds most go first. So whatever faulty endpoints send, an
+// answer is sure of the memory that complete answers leave, divided by the
+// number of endpoints whose answers are being read.
 #ifndef MODULES_ENDPOINT_LINK_ANSWER_MEMORY_H_
 #define MODULES_ENDPOINT_LINK_ANSWER_MEMORY_H_
 
 #include <cstddef>
+#include <functional>
+#include <map>
 #include <memory>
+#include <set>
+#include <string>
 
 namespace papayakeel {
 
+class answer_share;
+
 class answer_memory {
  public:
   explicit answer_memory(std::size_t memory_limit_bytes);
 
   // Maximum size of one answer, in bytes of its header, body and framing.
   std::size_t single_limit() const { return single_limit_; }
+  std::size_t total_limit() const { return total_limit_; }
   std::size_t held() const { return held_; }
+  // Answers that gave way to others.
+  std::uint64_t withdrawn_total() const { return withdrawn_total_; }
 
  private:
   friend class answer_share;
 
+  // Takes shares back until `bytes` more fit for an answer of `endpoint`.
+  // Returns false if the endpoints that hold more have none left.
+  bool MakeRoom(const answer_share& taker, std::size_t bytes);
+  // The largest share that can be taken back, of the endpoint that holds most.
+  // Null if no endpoint holds more than `bytes`.
+  answer_share* FindLargest(const answer_share& taker, std::size_t bytes) const;
+
   const std::size_t single_limit_;
   const std::size_t total_limit_;
   std::size_t held_ = 0;
+  // Of the answers that are being read.
+  std::set<answer_share*> reading_;
+  std::map<std::string, std::size_t> held_by_endpoint_;
+  std::uint64_t withdrawn_total_ = 0;
 };
 
 // What one answer holds of the memory; gives it back when destroyed.
 class answer_share {
  public:
-  explicit answer_share(std::shared_ptr<answer_memory> memory);
+  // The share of an answer of `endpoint` that is being read. `on_withdrawn` is
+  // called at most once, when the share has been taken back; it must not use
+  // the memory or end the answer before it returns.
+  answer_share(std::shared_ptr<answer_memory> memory,
+               std::string endpoint,
+               std::function<void()> on_withdrawn);
   ~answer_share();
   answer_share(const answer_share&) = delete;
   answer_share& operator=(const answer_share&) = delete;
 
   // Makes the share `bytes` large. Returns false, and changes nothing, if that
-  // exceeds the limit of one answer or of all answers.
+  // exceeds the limit of one answer, if the share has been taken back, or if
+  // all answers need more than there is and no other endpoint holds more.
   bool Resize(std::size_t bytes);
 
+  // The answer is complete. Its share is not taken back any more.
+  void Complete();
+
  private:
+  friend class answer_memory;
+
+  void SetBytes(std::size_t bytes);
+  // Takes the share back.
+  void Withdraw();
+
   const std::shared_ptr<answer_memory> memory_;
+  const std::string endpoint_;
+  const std::function<void()> on_withdrawn_;
   std::size_t bytes_ = 0;
+  bool is_reading_ = true;
+  bool is_withdrawn_ = false;
 };
 
 }  // namespace papayakeel
--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -42,6 +42,8 @@
 constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr unsigned kFirstFinalStatus = 200;
 
+constexpr std::string_view kNoMemory = "no memory for the answer";
+
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 // Returns the seconds of `timeout=N` in the value of a Keep-Alive header.
@@ -124,6 +126,7 @@
 void endpoint_connection::Abandon() {
   done_ = nullptr;
   deadline_timer_.cancel();
+  share_.reset();
   Close();
 }
 
@@ -166,15 +169,15 @@
   limits.body_bytes = memory_->single_limit();
   limits.is_head = exchange_.is_head;
   reader_.Start(limits);
-  share_ = std::make_shared<answer_share>(memory_);
+  share_ = std::make_shared<answer_share>(memory_, exchange_.endpoint_id,
+                                          [this] { EndLaterForMemory(); });
   OnState(reader_.Parse());
 }
 
-void endpoint_connection::ReadSome() {
+void endpoint_connection::ReadSome(const boost::asio::mutable_buffer& buffer) {
   stream_.async_read_some(
-      reader_.Prepare(),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t size) {
+      buffer, [self = shared_from_this()](
+                  const boost::system::error_code& error, std::size_t size) {
         if (self->done_)
           self->OnState(self->reader_.Receive(error, size));
       });
@@ -183,11 +186,23 @@
 void endpoint_connection::OnState(answer_state state) {
   if (state == answer_state::kBroken)
     return Finish(attempt_outcome::kBroken, reader_.error());
+  const bool is_complete = state == answer_state::kComplete;
+  const boost::asio::mutable_buffer next =
+      is_complete ? boost::asio::mutable_buffer() : reader_.Prepare();
   if (!share_->Resize(reader_.held_bytes()))
-    return Discard("no memory for the answer");
-  if (state == answer_state::kComplete)
+    return Discard(std::string(kNoMemory));
+  if (is_complete)
     return HandleAnswer();
-  ReadSome();
+  ReadSome(next);
+}
+
+void endpoint_connection::EndLaterForMemory() {
+  boost::asio::post(stream_.get_executor(), [self = shared_from_this(),
+                                             share = std::weak_ptr(share_)] {
+    // The next answer has another share.
+    if (self->done_ && self->share_ && self->share_ == share.lock())
+      self->Discard(std::string(kNoMemory));
+  });
 }
 
 void endpoint_connection::Skip() {
@@ -203,7 +218,7 @@
 }
 
 void endpoint_connection::HandleAnswer() {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   if (answer.result_int() < kFirstFinalStatus)
     return Skip();
   if (IsRefusal())
@@ -214,6 +229,7 @@
   if (IsForOtherExchange())
     return Skip();
   const attempt_outcome outcome = Classify();
+  share_->Complete();
   is_clean_ =
       !is_writing_ && answer.keep_alive() && !reader_.ends_with_connection();
   Finish(outcome,
@@ -221,13 +237,13 @@
 }
 
 bool endpoint_connection::IsRefusal() const {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   return answer.result_int() == kMisdirectedStatus ||
          answer.find(contract_.headers.not_run) != answer.end();
 }
 
 bool endpoint_connection::AnnouncesLeaving() const {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   const header_names& names = contract_.headers;
   // Another endpoint at the address speaks for itself.
   const auto id = answer.find(names.endpoint_id);
@@ -243,13 +259,13 @@
 }
 
 bool endpoint_connection::IsForOtherExchange() const {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   const auto id = answer.find(contract_.headers.request_id);
   return id != answer.end() && id->value() != exchange_.request_id;
 }
 
 void endpoint_connection::RememberRefusal() {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   const auto id = answer.find(contract_.headers.request_id);
   if (id == answer.end()) {
     has_anonymous_refusal_ = true;
@@ -263,7 +279,7 @@
 }
 
 attempt_outcome endpoint_connection::Classify() const {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   const header_names& names = contract_.headers;
   if (exchange_.request_id.empty())
     return attempt_outcome::kAnswered;
@@ -287,7 +303,8 @@
              : attempt_outcome::kAnswered;
 }
 
-void endpoint_connection::UpdateIdleDeadline(const http_response& answer) {
+void endpoint_connection::UpdateIdleDeadline(
+    const answer_reader::message& answer) {
   const std::optional<int> reported =
       ParseKeepAliveTimeout(ToStringView(answer[http::field::keep_alive]));
   const time_span limit =
@@ -304,7 +321,7 @@
   result.was_reused = has_carried_exchange_;
   result.detail = std::move(detail);
   if (reader_.is_complete()) {
-    const http_response& answer = reader_.answer();
+    const answer_reader::message& answer = reader_.answer();
     const auto load = answer.find(contract_.headers.endpoint_load);
     if (load != answer.end())
       result.load = contract_.read_load(ToStringView(load->value()));
--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -51,11 +51,14 @@
  private:
   void Write();
   void Read();
-  void ReadSome();
+  void ReadSome(const boost::asio::mutable_buffer& buffer);
   void OnState(answer_state state);
   void HandleAnswer();
   // Reads on after an answer that is not the one to this exchange.
   void Skip();
+  // Ends the exchange, once the caller has returned, because its answer has
+  // given way to others.
+  void EndLaterForMemory();
   // Ends the exchange for an answer of which nothing is used.
   void Discard(std::string detail);
   void Finish(attempt_outcome outcome, std::string detail);
@@ -65,7 +68,7 @@
   bool IsForOtherExchange() const;
   attempt_outcome Classify() const;
   void RememberRefusal();
-  void UpdateIdleDeadline(const http_response& answer);
+  void UpdateIdleDeadline(const answer_reader::message& answer);
 
   const caller_contract& contract_;
   boost::beast::tcp_stream stream_;
--- a/modules/endpoint_link/endpoint_link.cc
+++ b/modules/endpoint_link/endpoint_link.cc
@@ -143,7 +143,8 @@
           {"idle", idle},
           {"opened", opened_total_},
           {"reused", reused_total_},
-          {"answer_bytes", memory_->held()}};
+          {"answer_bytes", memory_->held()},
+          {"answers_withdrawn", memory_->withdrawn_total()}};
 }
 
 }  // namespace papayakeel
--- a/modules/http/answer_reader.cc
+++ b/modules/http/answer_reader.cc
@@ -80,19 +80,15 @@
     if (error)
       return Break(error.message());
     // Until the header is read, an eager parser would pass over the error of a
-    // length beyond the limit and reserve that length.
+    // length beyond the limit.
     parser_->eager(parser_->is_header_done());
   }
   return answer_state::kComplete;
 }
 
-std::size_t answer_reader::held_bytes() const {
-  // The parser reserves a stated length before the first byte of the body.
-  const std::size_t announced =
-      parser_->is_header_done() && !parser_->is_done()
-          ? parser_->content_length_remaining().value_or(0)
-          : 0;
-  return parsed_bytes_ + std::max(buffer_.size(), announced);
+http_response answer_reader::Release() {
+  message released = parser_->release();
+  return http_response(std::move(released.base()), std::move(released.body()));
 }
 
 answer_state answer_reader::Break(std::string error) {
--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -13,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "modules/http/growing_body.h"
 #include "modules/http/http_types.h"
 
 namespace papayakeel {
@@ -33,6 +34,8 @@
 
 class answer_reader {
  public:
+  using message = http::response<detail::growing_body>;
+
   answer_reader();
 
   // Begins the next answer. Bytes that follow the last one are its first.
@@ -53,14 +56,16 @@
   bool has_surplus() const { return buffer_.size() > 0; }
   // Whether only the end of the connection ends the answer.
   bool ends_with_connection() const { return parser_->need_eof(); }
-  // Bytes of the answer that have been parsed or wait to be, and those of its
-  // body that its stated length announces.
-  std::size_t held_bytes() const;
+  // Bytes of the answer that have been parsed, and those of the buffer for what
+  // comes next. Bytes that are only announced do not count.
+  std::size_t held_bytes() const {
+    return parsed_bytes_ + (is_complete() ? 0 : buffer_.capacity());
+  }
   // The cause of kBroken.
   const std::string& error() const { return error_; }
 
-  const http_response& answer() const { return parser_->get(); }
-  http_response Release() { return parser_->release(); }
+  const message& answer() const { return parser_->get(); }
+  http_response Release();
   // Drops the answer, but not the bytes that follow it.
   void Drop() { parser_.reset(); }
   // Gives back memory that an idle connection does not need.
@@ -70,7 +75,7 @@
   answer_state Break(std::string error);
 
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<detail::growing_body>> parser_;
   answer_limits limits_;
   std::size_t parsed_bytes_ = 0;
   std::string error_;
--- a/modules/server_link/server_connection.cc
+++ b/modules/server_link/server_connection.cc
@@ -170,7 +170,7 @@
 }
 
 void server_connection::OnResponse() {
-  const http_response& answer = reader_.answer();
+  const answer_reader::message& answer = reader_.answer();
   // A response that is delimited only by the end of the connection cannot be
   // distinguished from a truncated one.
   if (reader_.ends_with_connection() && !answer.has_content_length())
--- a/tests/modules/endpoint_link/endless_answer_test.cc
+++ b/tests/modules/endpoint_link/endless_answer_test.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "drivers/event_loop.h"
 #include "modules/endpoint_link/endpoint_link.h"
@@ -62,17 +63,23 @@
                                   const std::string&) { return script; });
   }
 
-  endpoint_result Exchange(const std::string& id, time_span timeout) {
+  static endpoint_exchange MakeExchange(
+      const scripted_server& at, const std::string& endpoint_id,
+      const std::string& id, time_span timeout) {
     endpoint_exchange exchange;
-    exchange.endpoint_id = "i-1";
-    exchange.address = server->address();
+    exchange.endpoint_id = endpoint_id;
+    exchange.address = at.address();
     exchange.header = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     exchange.request_id = id;
     exchange.deadline = event_loop::Now() + timeout;
+    return exchange;
+  }
+
+  endpoint_result Exchange(const std::string& id, time_span timeout) {
     std::optional<endpoint_result> result;
-    link->Begin(std::move(exchange), [&result](endpoint_result ended) {
-      result = std::move(ended);
-    });
+    link->Begin(
+        MakeExchange(*server, "i-1", id, timeout),
+        [&result](endpoint_result ended) { result = std::move(ended); });
     while (!result)
       loop->context().run_for(milliseconds(1));
     return std::move(*result);
@@ -132,4 +139,50 @@
   LONGS_EQUAL(0, link->memory().held());
 }
 
+// Guards against faulty endpoints that take the memory of all others: they
+// announce long answers, or send a part of them, and then nothing more. Sound
+// answers, which come one after the other, ended as broken until the deadline
+// of the faulty ones.
+TEST(endless_answer, SoundAnswersArriveBesideFaultyOnes) {
+  constexpr int kFaultyEndpoints = 4;
+  constexpr int kFaultyAnswers = 2;  // Of each of them.
+  constexpr int kSoundAnswers = 50;
+  // 1 KiB below the limit of one answer.
+  const std::size_t announced = kSingleLimit - 1024;
+  const std::string head =
+      Start() + "Content-Length: " + std::to_string(announced) + "\r\n\r\n";
+  const std::string body(30000, 'b');
+  for (const std::size_t sent : {std::size_t{1}, announced / 2}) {
+    server_script stalled;
+    stalled.bytes = head + std::string(sent, 'x');
+    scripted_server faulty(loop->context(),
+                           [&stalled](std::size_t, std::size_t,
+                                      const std::string&) { return stalled; });
+    Serve({Start() + "Content-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body,
+           "",
+           {}});
+    std::vector<endpoint_link::exchange_id> running;
+    for (int endpoint = 0; endpoint < kFaultyEndpoints; ++endpoint) {
+      for (int answer = 0; answer < kFaultyAnswers; ++answer) {
+        running.push_back(
+            link->Begin(MakeExchange(faulty, "f-" + std::to_string(endpoint),
+                                     "r1", seconds(60)),
+                        [](const endpoint_result&) {}));
+      }
+    }
+    loop->context().run_for(milliseconds(300));
+    for (int index = 0; index < kSoundAnswers; ++index) {
+      const endpoint_result result = Exchange("r1", seconds(5));
+      STRCMP_EQUAL("answered", ToString(result.outcome));
+      CHECK(result.response.body() == body);
+      CHECK(link->memory().held() <= link->memory().total_limit());
+    }
+    for (const endpoint_link::exchange_id each : running)
+      link->Cancel(each);
+    loop->context().run_for(milliseconds(20));
+    LONGS_EQUAL(0, link->memory().held());
+  }
+}
+
 }  // namespace papayakeel
