--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -195,6 +195,10 @@
   Run([&] { endpoints_.at(endpoint)->work = work; });
 }
 
+void platform_stand_in::SetAnswerSize(std::size_t endpoint, std::size_t bytes) {
+  Run([&] { endpoints_.at(endpoint)->answer_bytes = bytes; });
+}
+
 void platform_stand_in::Register(std::size_t endpoint, bool is_leaving) {
   stand_in_endpoint& known = *endpoints_.at(endpoint);
   known.is_leaving = is_leaving;
@@ -235,6 +239,10 @@
   http_response response = MakeAnswer(
       http::status::ok, std::string(request.method_string()) + " " +
                             std::string(ToStringView(request.target())) + "\n");
+  if (response.body().size() < endpoint.answer_bytes) {
+    response.body().resize(endpoint.answer_bytes, 'b');
+    response.prepare_payload();
+  }
   response.set("Papayakeel-Server-Load", "0,0,2,100");
   response.set("Papayakeel-Instance-Id", endpoint.id);
   if (endpoint.announces_leaving)
@@ -336,7 +344,8 @@
            << "\nport_range=" << kFirstFreePort << "," << kFirstFreePort + 15
            << "\nseeds=" << host_prefix_ << "1:" << kControlPort << ","
            << host_prefix_ << "2:" << kControlPort
-           << "\nlimits.cpu_share=0.2\nlimits.memory_mb=260\n"
+           << "\nlimits.cpu_share=0.2\nlimits.memory_mb=" << memory_megabytes_
+           << "\n"
            << "bounds=grace=6s,retry_ratio=0.2,retry_window=10s,"
            << "retry_slack=58,probes_per_s=60\nplatform.address="
            << published_store_address_.ToString() << "\n";
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -58,6 +58,8 @@
   std::size_t AddEndpoint(time_span work);
   // From now on it takes this long for each request.
   void SetWork(std::size_t endpoint, time_span work);
+  // From now on its answers have at least this many bytes.
+  void SetAnswerSize(std::size_t endpoint, std::size_t bytes);
   // Registers it anew, as leaving or not.
   void Register(std::size_t endpoint, bool is_leaving);
   // Where the endpoint listens, and where entry VMs are told to find it when
@@ -86,6 +88,8 @@
   std::size_t AddEntryVm(const std::string& log_path = "");
   // Ends the VM's process, if it still runs, and starts it anew.
   void RestartEntryVm(std::size_t index);
+  // The memory limit of VMs that are added later, in MB.
+  void SetMemoryLimit(int megabytes) { memory_megabytes_ = megabytes; }
   // Where the store listens, and where VMs that are added later are told to
   // find it when that is a relay.
   network_address StoreAddress() const;
@@ -105,6 +109,7 @@
   struct stand_in_endpoint {
     std::string id;
     time_span work{0};
+    std::size_t answer_bytes = 0;
     bool is_rejecting = false;
     bool announces_leaving = false;
     int registrations = 0;
@@ -138,6 +143,7 @@
   std::unique_ptr<store_stand_in> store_;
   std::string newest_state_;  // As the operator wrote it.
   network_address published_store_address_;
+  int memory_megabytes_ = 260;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
   std::map<std::string, int> arrivals_;  // By request id.
   std::map<std::string, int> runs_;
