--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -480,10 +480,10 @@
   sink.Counter("papayakeel_endpoint_connections_opened_total",
                "Connections opened to endpoints", {},
                static_cast<double>(services_.endpoints->opened_total()));
-  sink.Counter("papayakeel_answers_withdrawn_total",
-               "Unfinished answers of endpoints that gave way to others", {},
-               static_cast<double>(
-                   services_.endpoints->memory().withdrawn_total()));
+  sink.Counter(
+      "papayakeel_answers_withdrawn_total",
+      "Unfinished answers of endpoints that gave way to others", {},
+      static_cast<double>(services_.endpoints->memory().withdrawn_total()));
   sink.Counter("papayakeel_log_lines_dropped_total",
                "Log lines that standard output did not take", {},
                static_cast<double>(DroppedLogLines()));
