--- a/tests/modules/endpoint_link/answer_memory_test.cc
+++ b/tests/modules/endpoint_link/answer_memory_test.cc
@@ -15,6 +15,9 @@
 // All answers may take 1 MiB, one of them half of that.
 constexpr std::size_t kMemoryLimit = 8 << 20;
 
+constexpr std::size_t kFaultyEndpoints = 7;
+constexpr std::size_t kAnswersOfEach = 4;
+
 }  // namespace
 
 TEST_GROUP(answer_memory) {
@@ -33,13 +36,12 @@
 // Guards against an answer that finds no memory because faulty endpoints, each
 // with several answers, have used it up: an equal share is sure.
 TEST(answer_memory, EachEndpointIsSureOfAnEqualShare) {
-  constexpr std::size_t kFaulty = 7;
-  constexpr std::size_t kAnswers = 4;  // Of each.
-  for (std::size_t index = 0; index < kFaulty * kAnswers; ++index) {
-    const std::size_t endpoint = index % kFaulty;
+  for (std::size_t index = 0; index < kFaultyEndpoints * kAnswersOfEach;
+       ++index) {
+    const std::size_t endpoint = index % kFaultyEndpoints;
     Add("f" + std::to_string(endpoint)).Resize(50000 + 1000 * endpoint);
   }
-  const std::size_t sure = memory->total_limit() / (kFaulty + 1);
+  const std::size_t sure = memory->total_limit() / (kFaultyEndpoints + 1);
   CHECK(memory->held() + sure > memory->total_limit());
   answer_share& sound = Add("s");
   for (std::size_t bytes = 1000; bytes < sure; bytes += 1000) {
--- a/tests/modules/endpoint_link/endless_answer_test.cc
+++ b/tests/modules/endpoint_link/endless_answer_test.cc
@@ -35,6 +35,10 @@
          names.answer_proof + ": s\r\n";
 }
 
+constexpr int kFaultyEndpoints = 4;
+constexpr int kFaultyAnswers = 2;  // Of each of them.
+constexpr int kSoundAnswers = 50;
+
 }  // namespace
 
 TEST_GROUP(endless_answer) {
@@ -144,9 +148,6 @@
 // answers, which come one after the other, ended as broken until the deadline
 // of the faulty ones.
 TEST(endless_answer, SoundAnswersArriveBesideFaultyOnes) {
-  constexpr int kFaultyEndpoints = 4;
-  constexpr int kFaultyAnswers = 2;  // Of each of them.
-  constexpr int kSoundAnswers = 50;
   // 1 KiB below the limit of one answer.
   const std::size_t announced = kSingleLimit - 1024;
   const std::string head =
--- a/tests/modules/http/answer_reader_test.cc
+++ b/tests/modules/http/answer_reader_test.cc
@@ -52,6 +52,9 @@
   return state;
 }
 
+constexpr std::size_t kFramingBytes = 100 * 1024;
+constexpr int kMostMoves = 16;
+
 }  // namespace
 
 TEST_GROUP(answer_reader){};
@@ -108,8 +111,6 @@
 // Guards against framing in single bytes that makes the reader copy all that it
 // holds with each of them.
 TEST(answer_reader, SingleBytesMoveTheBufferRarely) {
-  constexpr std::size_t kFraming = 100 * 1024;
-  constexpr int kMostMoves = 16;
   answer_reader reader;
   reader.Start({});
   const std::string start =
@@ -117,7 +118,7 @@
   CHECK(Feed(reader, start, 1) == answer_state::kIncomplete);
   int moves = 0;
   std::uintptr_t expected = 0;  // Where the next byte goes unless all moves.
-  for (std::size_t fed = 0; fed < kFraming; ++fed) {
+  for (std::size_t fed = 0; fed < kFramingBytes; ++fed) {
     const std::uintptr_t next =
         reinterpret_cast<std::uintptr_t>(reader.Prepare().data());
     moves += next != expected ? 1 : 0;
--- a/tests/platform/process/planned_stop_test.cc
+++ b/tests/platform/process/planned_stop_test.cc
@@ -66,6 +66,11 @@
   boost::asio::ip::tcp::socket socket_;
 };
 
+// A fleet that is large enough to have readers, stopped a group at a time.
+constexpr std::size_t kFleetSize = 32;
+constexpr std::size_t kStopGroup = 6;
+constexpr milliseconds kStopGroupGap{1300};
+
 }  // namespace
 
 TEST_GROUP(planned_stop) {
@@ -193,13 +198,10 @@
 // whose last VMs crash and take the requests at endpoints with them: once the
 // fleet is large, some VMs read the store for all, and nobody is left to.
 TEST(planned_stop, AWholeFleetStopsWithoutCuttingRequests) {
-  constexpr std::size_t kVms = 32;
-  constexpr std::size_t kGroup = 6;
-  constexpr milliseconds kGroupGap{1300};
-  Start(24, kVms, milliseconds(300));
+  Start(24, kFleetSize, milliseconds(300));
   std::atomic<bool> has_stopped{false};
   std::vector<std::thread> callers;
-  for (std::size_t vm = 0; vm < kVms; ++vm) {
+  for (std::size_t vm = 0; vm < kFleetSize; ++vm) {
     callers.emplace_back([this, vm, &has_stopped] {
       for (int number = 0; !has_stopped; ++number) {
         held_connection connection(site.CallersOf(vm));
@@ -209,13 +211,13 @@
     });
   }
   std::this_thread::sleep_for(seconds(1));
-  for (std::size_t vm = 0; vm < kVms; ++vm) {
-    if (vm > 0 && vm % kGroup == 0)
-      std::this_thread::sleep_for(kGroupGap);
+  for (std::size_t vm = 0; vm < kFleetSize; ++vm) {
+    if (vm > 0 && vm % kStopGroup == 0)
+      std::this_thread::sleep_for(kStopGroupGap);
     site.entry_vm(vm).Signal(SIGTERM);
   }
   std::vector<std::optional<int>> statuses;
-  for (std::size_t vm = 0; vm < kVms; ++vm)
+  for (std::size_t vm = 0; vm < kFleetSize; ++vm)
     statuses.push_back(site.entry_vm(vm).Wait(seconds(8)));
   has_stopped = true;
   for (std::thread& caller : callers)
