--- a/modules/endpoint_link/answer_memory.cc
+++ b/modules/endpoint_link/answer_memory.cc
@@ -8,11 +8,10 @@
 namespace {
 
 // All answers may use 1 / kTotalDivisor of the memory limit. A body that grows
-// without a stated length takes up to twice its bytes, and a second copy is
-// made when it is written, so that they stay within a quarter to a half.
+// takes up to twice its bytes, and a second copy is made when it is written, so
+// that they stay within a quarter to a half.
 constexpr std::size_t kTotalDivisor = 8;
-// One answer may use 1 / kSingleDivisor of that, so that one endless answer
-// leaves room for the others.
+// One answer may use 1 / kSingleDivisor of that.
 constexpr std::size_t kSingleDivisor = 2;
 
 }  // namespace
--- a/modules/endpoint_link/answer_memory.h
+++ b/modules/endpoint_link/answer_memory.h
@@ -33,17 +33,18 @@
  private:
   friend class answer_share;
 
-  // Takes shares back until `bytes` more fit for an answer of `endpoint`.
-  // Returns false if the endpoints that hold more have none left.
+  // Takes shares back until `taker` can grow by `bytes`. Returns false if that
+  // is not enough: no other endpoint holds more than that of `taker` would.
   bool MakeRoom(const answer_share& taker, std::size_t bytes);
-  // The largest share that can be taken back, of the endpoint that holds most.
-  // Null if no endpoint holds more than `bytes`.
+  // The largest share of the endpoint that holds most, without that of `taker`.
+  // Null if none holds more than `bytes`.
   answer_share* FindLargest(const answer_share& taker, std::size_t bytes) const;
 
   const std::size_t single_limit_;
   const std::size_t total_limit_;
   std::size_t held_ = 0;
-  // Of the answers that are being read.
+  // Answers that are being read, and their bytes by endpoint. Endpoints that
+  // hold none need no entry.
   std::set<answer_share*> reading_;
   std::map<std::string, std::size_t> held_by_endpoint_;
   std::uint64_t withdrawn_total_ = 0;
@@ -62,9 +63,9 @@
   answer_share(const answer_share&) = delete;
   answer_share& operator=(const answer_share&) = delete;
 
-  // Makes the share `bytes` large. Returns false, and changes nothing, if that
-  // exceeds the limit of one answer, if the share has been taken back, or if
-  // all answers need more than there is and no other endpoint holds more.
+  // Makes the share `bytes` large, for which others may be taken back. Returns
+  // false, and leaves it as it is, if that exceeds the limit of one answer, if
+  // the share itself has been taken back, or if there is no room for it.
   bool Resize(std::size_t bytes);
 
   // The answer is complete. Its share is not taken back any more.
