Do not end a run of the server stand-in whose connection has closed

Cause, by reading: when the timer of a run and the end of its connection are both ready, as after SIGCONT, OnClosed removes the run, the timer can no longer be cancelled, and EndRun made a run without a connection and answered it. Not forced by a test: 10 plain and 8 sanitized runs of the test alone showed no crash without the change. Such ends passed unnoticed until process tests failed on them.

--- a/misc/stand_ins/server/server_stand_in.cc
+++ b/misc/stand_ins/server/server_stand_in.cc
@@ -207,8 +207,12 @@
 }
 
 void server_stand_in::EndRun(std::uint64_t number) {
-  const job ended = std::move(running_[number]);
-  running_.erase(number);
+  const auto found = running_.find(number);
+  // Its connection has closed since the timer expired.
+  if (found == running_.end())
+    return;
+  const job ended = std::move(found->second);
+  running_.erase(found);
   http_response answer(http::status::ok, 11);
   answer.set("endpoint-load-metrics", LoadReport());
   // Lets a load tool tell the server's time from the time that the system adds.
