--- a/tests/process/child_process_test.cc
+++ b/tests/process/child_process_test.cc
@@ -18,26 +18,26 @@
 
 constexpr seconds kLimit{10};
 
+// Runs the shell's `script` until it ends, and returns the number of ends that
+// nobody asked for.
+std::size_t EndsUnasked(const std::string& script,
+                        const std::vector<int>& signals) {
+  {
+    child_process process({"/bin/sh", "-c", script}, "/dev/null");
+    for (const int signal_number : signals) {
+      // The script sets its traps first.
+      std::this_thread::sleep_for(milliseconds(200));
+      process.Signal(signal_number);
+    }
+    if (signals.empty())
+      CHECK(process.Wait(kLimit).has_value());
+  }
+  return child_process::TakeUnrequestedEnds().size();
+}
+
 }  // namespace
 
-TEST_GROUP(child_process){
-    // Runs the shell's `script` until it ends, and returns the number of ends
-    // that nobody asked for.
-    static std::size_t EndsUnasked(const std::string& script,
-                                   const std::vector<int>& signals){
-        {child_process process({"/bin/sh", "-c", script}, "/dev/null");
-for (const int signal_number : signals) {
-  // The script sets its traps first.
-  std::this_thread::sleep_for(milliseconds(200));
-  process.Signal(signal_number);
-}
-if (signals.empty())
-  CHECK(process.Wait(kLimit).has_value());
-}  // namespace papayakeel
-return child_process::TakeUnrequestedEnds().size();
-}
-}
-;
+TEST_GROUP(child_process){};
 
 // Guards against a run that passes although a process crashed, also one that
 // crashed in its grace period.
