Let endpoints read an upload late

Cause: the kernel's limit of 1 s for unacknowledged bytes counts a closed receive window as silence. The exchange now watches its writes, so that such a pause may last as long as the request's own limit; an endpoint that answers no probes ends the exchange as broken. The same for servers of the project's own bundles (server_connection).

--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -43,6 +43,7 @@
 constexpr unsigned kFirstFinalStatus = 200;
 
 constexpr std::string_view kNoMemory = "no memory for the answer";
+constexpr char kSilent[] = "endpoint takes no bytes and answers no probes";
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
@@ -68,6 +69,13 @@
                                          endpoint_leaving_hook on_leaving)
     : contract_(contract),
       stream_(context),
+      watch_(context,
+             {nullptr,
+              [this] {
+                if (!done_)
+                  return Close();
+                Finish(attempt_outcome::kBroken, kSilent);
+              }}),
       deadline_timer_(context),
       memory_(std::move(memory)),
       on_leaving_(std::move(on_leaving)) {}
@@ -114,7 +122,9 @@
           return self->Finish(attempt_outcome::kUnreachable, failure.message());
         }
         self->is_open_ = true;
-        SetLowLatencyOptions(self->stream_.socket().native_handle());
+        const int handle = self->stream_.socket().native_handle();
+        SetLowLatencyOptions(handle);
+        self->watch_.Start(handle);
         if (!self->exchange_.may_send()) {
           return self->Finish(attempt_outcome::kUnreachable,
                               "endpoint is leaving");
@@ -133,6 +143,7 @@
 void endpoint_connection::Close() {
   is_open_ = false;
   is_clean_ = false;
+  watch_.Stop();
   stream_.close();
 }
 
@@ -161,6 +172,8 @@
         // have sent an answer already, so the read goes on.
         self->is_writing_ = error.failed();
       });
+  // An endpoint may read a long body late.
+  watch_.WatchWrite(exchange_.deadline - event_loop::Now());
   Read();
 }
 
--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "drivers/connection_watch.h"
 #include "modules/endpoint_link/endpoint_exchange.h"
 #include "modules/entry_gateway/caller_contract.h"
 #include "modules/http/answer_reader.h"
@@ -72,6 +73,7 @@
 
   const caller_contract& contract_;
   boost::beast::tcp_stream stream_;
+  connection_watch watch_;
   boost::asio::steady_timer deadline_timer_;
   answer_reader reader_;
   const std::shared_ptr<answer_memory> memory_;
--- a/modules/server_link/server_connection.cc
+++ b/modules/server_link/server_connection.cc
@@ -36,6 +36,13 @@
                                      network_address endpoint)
     : endpoint_(std::move(endpoint)),
       stream_(context),
+      watch_(context,
+             {nullptr,
+              [this] {
+                if (!done_)
+                  return Close();
+                Finish(FailureResult());
+              }}),
       deadline_timer_(context),
       silence_timer_(context) {}
 
@@ -64,19 +71,21 @@
   if (error)
     return Finish(attempt_result::kNotRun);
   stream_.expires_after(kConnectTimeout);
-  stream_.async_connect(
-      boost::asio::ip::tcp::endpoint(host, endpoint_.port),
-      [self =
-           shared_from_this()](const boost::system::error_code& connect_error) {
-        if (!self->done_)
-          return;
-        if (connect_error)
-          return self->Finish(attempt_result::kNotRun);
-        self->is_open_ = true;
-        self->opened_at_ = event_loop::Now();
-        SetLowLatencyOptions(self->stream_.socket().native_handle());
-        self->Write();
-      });
+  stream_.async_connect(boost::asio::ip::tcp::endpoint(host, endpoint_.port),
+                        [self = shared_from_this()](
+                            const boost::system::error_code& connect_error) {
+                          if (!self->done_)
+                            return;
+                          if (connect_error)
+                            return self->Finish(attempt_result::kNotRun);
+                          self->is_open_ = true;
+                          self->opened_at_ = event_loop::Now();
+                          const int handle =
+                              self->stream_.socket().native_handle();
+                          SetLowLatencyOptions(handle);
+                          self->watch_.Start(handle);
+                          self->Write();
+                        });
 }
 
 void server_connection::StartSilenceTimer() {
@@ -111,6 +120,7 @@
 void server_connection::Close() {
   is_open_ = false;
   is_clean_ = false;
+  watch_.Stop();
   stream_.close();
 }
 
@@ -135,6 +145,8 @@
                       // A server may respond early and close the connection,
                       // therefore the read goes on even after a write error.
                     });
+  // A server may read a long body late.
+  watch_.WatchWrite(exchange_.deadline - event_loop::Now());
   Read();
 }
 
--- a/modules/server_link/server_connection.h
+++ b/modules/server_link/server_connection.h
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "drivers/connection_watch.h"
 #include "modules/http/answer_reader.h"
 #include "modules/http/http_types.h"
 #include "modules/server_link/exchange.h"
@@ -54,6 +55,7 @@
 
   network_address endpoint_;
   boost::beast::tcp_stream stream_;
+  connection_watch watch_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer silence_timer_;
   answer_reader reader_;
