Let callers read their answers late

Sessions watch their writes now. A caller that is let go is logged (caller_lost) and counted (papayakeel_callers_lost_total) with the reason: stalled, silent or unreachable.

--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -41,6 +41,8 @@
                                boost::asio::ip::tcp::socket socket)
     : host_(&host),
       socket_(std::move(socket)),
+      watch_(socket_.get_executor().context(),
+             {nullptr, [this] { LoseCaller("silent"); }}),
       timer_(socket_.get_executor()) {}
 
 caller_session::~caller_session() {
@@ -52,6 +54,7 @@
 
 void caller_session::Start() {
   SetLowLatencyOptions(socket_.native_handle());
+  watch_.Start(socket_.native_handle());
   ArmTimer();
   Read();
 }
@@ -75,7 +78,7 @@
   if (host_ == nullptr)
     return;
   if (error)
-    return OnCallerDisconnected();
+    return OnIoError(error);
   if (is_closing_) {
     // Discard the data; reading only serves to detect a disconnect.
     return Read();
@@ -268,9 +271,10 @@
                                   std::size_t) {
         self->is_writing_ = false;
         if (error)
-          return self->OnCallerDisconnected();
+          return self->OnIoError(error);
         self->Flush();
       });
+  watch_.WatchWrite(kStallTimeout);
 }
 
 void caller_session::ArmTimer() {
@@ -312,7 +316,9 @@
            parser_->is_header_done() ? "body" : "header");
     return;
   }
-  if (is_writing_ || pending_.empty())
+  if (is_writing_)
+    return LoseCaller("stalled");
+  if (pending_.empty())
     OnCallerDisconnected();
 }
 
@@ -374,9 +380,10 @@
         self->outgoing_ = std::string();
         self->outgoing_memory_.reset();
         if (error)
-          return self->OnCallerDisconnected();
+          return self->OnIoError(error);
         self->OnWritten(closes);
       });
+  watch_.WatchWrite(kStallTimeout);
 }
 
 void caller_session::OnWritten(bool closes) {
@@ -415,10 +422,29 @@
   reserved_bytes_ = 0;
   host_ = nullptr;
   timer_.cancel();
+  watch_.Stop();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
 
+void caller_session::OnIoError(const boost::system::error_code& error) {
+  if (error == boost::asio::error::timed_out)
+    return LoseCaller("unreachable");
+  OnCallerDisconnected();
+}
+
+void caller_session::LoseCaller(std::string_view reason) {
+  if (host_ == nullptr)
+    return;
+  boost::system::error_code ignored;
+  lost_caller lost;
+  lost.address = socket_.remote_endpoint(ignored).address().to_string();
+  lost.reason = reason;
+  lost.unanswered = pending_.size() + (is_writing_ ? 1 : 0);
+  host_->lost(lost);
+  OnCallerDisconnected();
+}
+
 void caller_session::OnCallerDisconnected() {
   if (host_ == nullptr)
     return;
--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -15,6 +15,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "core/monotonic_time.h"
+#include "drivers/connection_watch.h"
 #include "modules/entry_gateway/session_host.h"
 #include "modules/http/http_types.h"
 
@@ -86,9 +87,15 @@
   void OnWritten(bool closes);
   void Linger();
   void OnCallerDisconnected();
+  // As OnCallerDisconnected, for a caller that did not close the connection
+  // itself. `reason` goes to the log.
+  void LoseCaller(std::string_view reason);
+  // Tells why a read or a write has failed.
+  void OnIoError(const boost::system::error_code& error);
 
   session_host* host_;  // Null after Close.
   boost::asio::ip::tcp::socket socket_;
+  connection_watch watch_;
   boost::asio::steady_timer timer_;
   // Holds no complete request while `is_reading_`, unless `is_closing_`. Not
   // consumed while `is_reading_`: the read writes into the area after the
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -91,6 +91,13 @@
     RecordRefusal(refused);
   };
   host_.handle = [this](caller_request request) { Handle(std::move(request)); };
+  host_.lost = [this](const lost_caller& lost) {
+    Log(log_level::kInfo, "caller_lost",
+        {{"caller", lost.address},
+         {"reason", std::string(lost.reason)},
+         {"unanswered", std::to_string(lost.unanswered)}});
+    ++lost_caller_counts_[std::string(lost.reason)];
+  };
   host_.closed = [this](caller_session& session) { sessions_.erase(&session); };
   const std::size_t body_limit =
       settings_.memory_limit_bytes / kBodyMemoryDivisor;
@@ -433,6 +440,11 @@
                  "Requests rejected without being scheduled, by reason",
                  {{"reason", reason}}, static_cast<double>(count));
   }
+  for (const auto& [reason, count] : lost_caller_counts_) {
+    sink.Counter("papayakeel_callers_lost_total",
+                 "Connections of callers ended by the VM, by reason",
+                 {{"reason", reason}}, static_cast<double>(count));
+  }
   sink.Gauge("papayakeel_requests_running", "Requests without an answer", {},
              static_cast<double>(runs_.size()));
   sink.Gauge("papayakeel_caller_connections", "Open connections of callers", {},
--- a/modules/entry_gateway/entry_gateway.h
+++ b/modules/entry_gateway/entry_gateway.h
@@ -114,6 +114,8 @@
   std::map<std::string, std::uint64_t> outcome_counts_;
   // Requests rejected without being scheduled, by reason.
   std::map<std::string, std::uint64_t> refusal_counts_;
+  // Callers whose connections were ended, by reason.
+  std::map<std::string, std::uint64_t> lost_caller_counts_;
   prometheus::Family<prometheus::Histogram>* durations_ = nullptr;
   bool is_draining_ = false;
   bool is_stopped_ = false;
--- a/modules/entry_gateway/session_host.h
+++ b/modules/entry_gateway/session_host.h
@@ -2,6 +2,7 @@
 #ifndef MODULES_ENTRY_GATEWAY_SESSION_HOST_H_
 #define MODULES_ENTRY_GATEWAY_SESSION_HOST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,12 +35,23 @@
   std::uint64_t state_version = 0;
 };
 
+// A caller whose connection the session has ended, for logs and metrics.
+struct lost_caller {
+  std::string address;
+  // "stalled": the caller took no bytes for too long. "silent": nor did it
+  // answer the kernel's probes. "unreachable": it did not acknowledge sent
+  // bytes, or did not answer keep-alive probes.
+  std::string_view reason;
+  std::size_t unanswered = 0;  // Requests whose answers are lost with it.
+};
+
 struct session_host {
   std::function<caller_limits()> limits;
   // Returns the version of the active desired state, or 0 if there is none.
   std::function<std::uint64_t()> state_version;
   std::function<void(const refused_request&)> refused;
   std::function<void(caller_request)> handle;
+  std::function<void(const lost_caller&)> lost;
   std::function<void(caller_session&)> closed;
   // Reserves memory for a request body. Returns false if the reservation would
   // exceed the memory limit for bodies.
--- a/tests/modules/entry_gateway/caller_session_test.cc
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 
 #include "drivers/event_loop.h"
 #include "modules/entry_gateway/http_message.h"
+#include "tests/modules/support/packet_filter.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -39,6 +41,10 @@
     host_.state_version = [this] { return version; };
     host_.reserve = [](std::size_t) { return true; };
     host_.release = [](std::size_t) {};
+    host_.lost = [this](const lost_caller& lost) {
+      losses.emplace_back(lost.reason);
+      unanswered += lost.unanswered;
+    };
     host_.closed = [](caller_session&) {};
     host_.refused = [this](const refused_request& refused) {
       refusals.push_back({std::string((*refused.message)["Id"]),
@@ -69,7 +75,10 @@
 
   void Answer(std::size_t index) {
     http_response response(http::status::ok, 11);
-    response.body() = std::to_string(requests[index].message.body().size());
+    response.body() =
+        answer_body.empty()
+            ? std::to_string(requests[index].message.body().size())
+            : answer_body;
     session_->Respond(requests[index].number, std::move(response), false);
   }
 
@@ -90,12 +99,17 @@
   // Runs the session until it has nothing to do, and collects what it sent.
   void Run() {
     context_.restart();
-    while (context_.poll() > 0) {
+    bool has_progressed = true;
+    while (has_progressed) {
+      has_progressed = context_.poll() > 0;
+      if (!is_reading)
+        continue;
       char buffer[16384];
       boost::system::error_code error;
       const std::size_t size =
           caller_.read_some(boost::asio::buffer(buffer), error);
       received.append(buffer, size);
+      has_progressed |= size > 0;
     }
   }
 
@@ -106,11 +120,25 @@
     return is_done();
   }
 
+  void RunFor(time_span span) {
+    const monotonic_time end = event_loop::Now() + span;
+    while (event_loop::Now() < end) {
+      Run();
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+  }
+
+  void GoDark() { DropArrivingPackets(caller_.native_handle()); }
+
   caller_limits limits;
   std::uint64_t version = 7;  // Of the desired state, or 0 if none is known.
   bool answers_at_once = true;
+  std::string answer_body;  // Empty: the size of the request's body.
+  bool is_reading = true;   // Whether the caller reads what it gets.
   std::vector<caller_request> requests;
   std::vector<logged_refusal> refusals;
+  std::vector<std::string> losses;  // Reasons.
+  std::size_t unanswered = 0;       // Requests of lost callers.
   std::string received;
 
  private:
@@ -120,6 +148,19 @@
   std::shared_ptr<caller_session> session_;
 };
 
+// A caller that reads nothing while its answers are written. They are more than
+// the kernels on both ends take.
+constexpr int kLateAnswers = 24;
+constexpr std::size_t kLateAnswerBytes = 1 << 20;
+constexpr milliseconds kLatePause{2500};
+
+// The limit for a write that makes no progress is 10 s.
+constexpr milliseconds kStallLimit{11'000};
+// As for endpoints (late_endpoint).
+constexpr milliseconds kDarkWithClosedWindowLimit{3500};
+constexpr milliseconds kDarkLimit{2000};
+constexpr milliseconds kDarkIdleLimit{4500};
+
 std::string NumberedRequest(int id) {
   return "GET /a/ HTTP/1.1\r\nHost: a\r\nId: " + std::to_string(id) +
          "\r\n\r\n";
@@ -285,4 +326,66 @@
   LONGS_EQUAL(150, fixture.requests.front().message.body().size());
 }
 
+// Guards against callers that are cut off because they read late (LOST).
+TEST(caller_session, LateReaderGetsItsAnswers) {
+  session_fixture fixture;
+  fixture.answer_body.assign(kLateAnswerBytes, 'x');
+  fixture.is_reading = false;
+  std::string bytes;
+  for (int id = 0; id < kLateAnswers; ++id)
+    bytes += NumberedRequest(id);
+  fixture.Send(bytes);
+  fixture.RunFor(kLatePause);
+  fixture.is_reading = true;
+  const std::size_t body_bytes = kLateAnswers * kLateAnswerBytes;
+  CHECK(
+      fixture.RunUntil([&] { return fixture.received.size() >= body_bytes; }));
+  LONGS_EQUAL(0, fixture.losses.size());
+}
+
+// Guards against callers that never read again and hold their answers.
+TEST(caller_session, CallerThatNeverReadsIsLetGo) {
+  session_fixture fixture;
+  fixture.answer_body.assign(kLateAnswers * kLateAnswerBytes, 'x');
+  fixture.is_reading = false;
+  fixture.Send(NumberedRequest(1) + NumberedRequest(2));
+  fixture.RunFor(kStallLimit);
+  LONGS_EQUAL(1, fixture.losses.size());
+  STRCMP_EQUAL("stalled", fixture.losses.front().c_str());
+  LONGS_EQUAL(2, fixture.unanswered);
+}
+
+// Guards against dark callers that are taken for late ones.
+TEST(caller_session, CallerThatGoesDarkWithAClosedWindowIsLetGo) {
+  session_fixture fixture;
+  fixture.answer_body.assign(kLateAnswers * kLateAnswerBytes, 'x');
+  fixture.is_reading = false;
+  fixture.Send(NumberedRequest(1));
+  fixture.RunFor(seconds(1));
+  fixture.GoDark();
+  fixture.RunFor(kDarkWithClosedWindowLimit);
+  LONGS_EQUAL(1, fixture.losses.size());
+  STRCMP_EQUAL("silent", fixture.losses.front().c_str());
+}
+
+TEST(caller_session, CallerThatGoesDarkWithUnacknowledgedBytesIsLetGo) {
+  session_fixture fixture;
+  fixture.answers_at_once = false;
+  fixture.Send(NumberedRequest(1));
+  CHECK(fixture.RunUntil([&] { return fixture.requests.size() == 1; }));
+  fixture.GoDark();
+  fixture.Answer(0);
+  fixture.RunFor(kDarkLimit);
+  LONGS_EQUAL(1, fixture.losses.size());
+  STRCMP_EQUAL("unreachable", fixture.losses.front().c_str());
+}
+
+TEST(caller_session, IdleCallerThatGoesDarkIsLetGo) {
+  session_fixture fixture;
+  fixture.GoDark();
+  fixture.RunFor(kDarkIdleLimit);
+  LONGS_EQUAL(1, fixture.losses.size());
+  STRCMP_EQUAL("unreachable", fixture.losses.front().c_str());
+}
+
 }  // namespace papayakeel
