Notice callers that leave with a full pipeline

Cause: a session does not read while 32 requests wait, and only a read told that the caller had closed. The watch tells it then, also with unread bytes in the kernel; the limit of 32 stays.

Not noticed: a caller that leaves behind more unread bytes than the kernel's receive buffer takes; its close does not arrive.

--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -42,7 +42,8 @@
     : host_(&host),
       socket_(std::move(socket)),
       watch_(socket_.get_executor().context(),
-             {nullptr, [this] { LoseCaller("silent"); }}),
+             {[this] { OnCallerDisconnected(); },
+              [this] { LoseCaller("silent"); }}),
       timer_(socket_.get_executor()) {}
 
 caller_session::~caller_session() {
@@ -60,9 +61,11 @@
 }
 
 void caller_session::Read() {
-  const bool is_full = pending_.size() >= kMaxPipelinedRequests;
-  if (host_ == nullptr || is_reading_ || is_full)
+  if (host_ == nullptr || is_reading_)
     return;
+  if (pending_.size() >= kMaxPipelinedRequests)
+    return watch_.WatchForClose();
+  watch_.IgnoreClose();
   is_reading_ = true;
   socket_.async_read_some(
       buffer_.prepare(kReadBufferBytes),
--- a/tests/modules/entry_gateway/caller_session_test.cc
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -128,6 +128,7 @@
     }
   }
 
+  void Leave() { caller_.close(); }
   void GoDark() { DropArrivingPackets(caller_.native_handle()); }
 
   caller_limits limits;
@@ -160,6 +161,8 @@
 constexpr milliseconds kDarkWithClosedWindowLimit{3500};
 constexpr milliseconds kDarkLimit{2000};
 constexpr milliseconds kDarkIdleLimit{4500};
+// In which callers that left are to be noticed.
+constexpr milliseconds kLeaveLimit{500};
 
 std::string NumberedRequest(int id) {
   return "GET /a/ HTTP/1.1\r\nHost: a\r\nId: " + std::to_string(id) +
@@ -388,4 +391,27 @@
   STRCMP_EQUAL("unreachable", fixture.losses.front().c_str());
 }
 
+// Guards against a caller that leaves unnoticed because more of its requests
+// wait than the session reads (GONE).
+TEST(caller_session, NoticesThatACallerWithAFullPipelineLeaves) {
+  session_fixture fixture;
+  fixture.answers_at_once = false;
+  std::string bytes;
+  for (int id = 100; id < 140; ++id)
+    bytes += NumberedRequest(id);
+  fixture.Send(bytes);
+  CHECK(fixture.RunUntil([&] { return fixture.requests.size() == 32; }));
+  std::size_t cancelled = 0;
+  for (const caller_request& each : fixture.requests) {
+    each.session->SetDisconnectCallback(each.number,
+                                        [&cancelled] { ++cancelled; });
+  }
+  fixture.RunFor(kLeaveLimit);
+  LONGS_EQUAL(0, cancelled);
+  fixture.Leave();
+  fixture.RunFor(kLeaveLimit);
+  LONGS_EQUAL(32, cancelled);
+  LONGS_EQUAL(32, fixture.requests.size());
+}
+
 }  // namespace papayakeel
