Notice callers of a listener that leave behind further requests

The same on lookups, the operators' interface and the project's own callers: a listener stopped to look for the end of a connection as soon as bytes of a further request had come, so that the request before them went on for nobody.

http_session.NoticesThatACallerWithReadRequestsLeaves and NoticesThatACallerWithUnreadRequestsLeaves failed before.

--- a/modules/http/http_session.cc
+++ b/modules/http/http_session.cc
@@ -28,12 +28,15 @@
                            boost::asio::ip::tcp::socket socket)
     : listener_(&listener),
       stream_(std::move(socket)),
+      watch_(stream_.get_executor().context(),
+             {[this] { OnPeerClosed(); }, nullptr}),
       read_deadline_(stream_.get_executor()),
       buffer_(listener.settings_.header_limit_bytes + 64 * 1024) {
   listener_->sessions_.insert(this);
   peer_ = RemoteAddress(stream_.socket());
   boost::system::error_code ignored;
   stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  watch_.Start(stream_.socket().native_handle());
 }
 
 http_session::~http_session() {
@@ -53,6 +56,7 @@
 void http_session::Close() {
   listener_ = nullptr;
   on_disconnect_ = nullptr;
+  watch_.Stop();
   stream_.close();
 }
 
@@ -176,7 +180,7 @@
 
 void http_session::WatchForDisconnect() {
   if (buffer_.size() > 0)
-    return;
+    return watch_.WatchForClose();
   const std::uint64_t number = request_number_;
   stream_.socket().async_wait(
       boost::asio::ip::tcp::socket::wait_read,
@@ -191,22 +195,28 @@
                                    &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         // Readable data is a pipelined request, not a disconnect.
         if (count > 0)
-          return;
-        const std::function<void()> disconnected =
-            std::move(self->on_disconnect_);
-        self->on_disconnect_ = nullptr;
-        ++self->request_number_;
-        self->stream_.close();
-        if (disconnected)
-          disconnected();
+          return self->watch_.WatchForClose();
+        self->OnPeerClosed();
       });
 }
 
+void http_session::OnPeerClosed() {
+  const std::shared_ptr<http_session> self = shared_from_this();
+  const std::function<void()> disconnected = std::move(on_disconnect_);
+  on_disconnect_ = nullptr;
+  ++request_number_;
+  watch_.Stop();
+  stream_.close();
+  if (disconnected)
+    disconnected();
+}
+
 void http_session::Respond(http_response response) {
   if (listener_ == nullptr || is_response_started_)
     return;
   is_response_started_ = true;
   on_disconnect_ = nullptr;
+  watch_.IgnoreClose();
   read_deadline_.cancel();
   const bool keep_alive = wants_keep_alive_ && !listener_->is_draining_;
   response_ = std::move(response);
--- a/modules/http/http_session.h
+++ b/modules/http/http_session.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "drivers/connection_watch.h"
 #include "modules/http/http_listener.h"
 #include "modules/http/http_types.h"
 
@@ -39,6 +40,7 @@
   void ReadBody();
   void OnRequest();
   void WatchForDisconnect();
+  void OnPeerClosed();
   void Respond(http_response response);
   void RejectAndClose(http_response response);
   void OnReadError(const boost::system::error_code& error);
@@ -46,6 +48,7 @@
 
   http_listener* listener_;  // Null after Close().
   boost::beast::tcp_stream stream_;
+  connection_watch watch_;  // For a close behind bytes of further requests.
   boost::asio::steady_timer read_deadline_;
   bool has_read_timed_out_ = false;
   boost::beast::flat_buffer buffer_;
