Let the answers of callers that stopped reading give way to others

When nothing that is still being read gives way, the caller that has taken no bytes for a second and holds most is let go now (caller_lost with reason=memory). Its other requests end later from the event loop: one of them may be the exchange that needs the memory.

--- a/drivers/connection_watch.cc
+++ b/drivers/connection_watch.cc
@@ -1,10 +1,10 @@
 // Acts on the kernel's reports of a connection.
 #include "drivers/connection_watch.h"
 
-#include <optional>
 #include <utility>
 
 #include "drivers/connection_poller.h"
+#include "drivers/event_loop.h"
 
 namespace papayakeel {
 
@@ -20,6 +20,7 @@
 void connection_watch::Start(int socket_handle) {
   socket_handle_ = socket_handle;
   judge_ = transmit_judge();
+  stalled_since_.reset();
   limit_ = kUnacknowledgedLimit;
 }
 
@@ -38,6 +39,10 @@
   poller_.Add(*this);
 }
 
+time_span connection_watch::stalled_for(monotonic_time now) const {
+  return stalled_since_ ? now - *stalled_since_ : time_span::zero();
+}
+
 void connection_watch::WatchForClose() {
   if (socket_handle_ < 0)
     return;
@@ -68,6 +73,10 @@
     // The owner of the connection ends a longer pause itself, before the kernel
     // does. The kernel's limit is for what it sends after the owner has closed.
     const bool is_window_closed = verdict == transmit_verdict::kWindowClosed;
+    if (!is_window_closed)
+      stalled_since_.reset();
+    else if (!stalled_since_)
+      stalled_since_ = event_loop::Now();
     SetLimit(is_window_closed ? longest_pause_ + kUnacknowledgedLimit
                               : kUnacknowledgedLimit);
     is_sending_ = verdict != transmit_verdict::kSent;
--- a/drivers/connection_watch.h
+++ b/drivers/connection_watch.h
@@ -13,6 +13,7 @@
 #define DRIVERS_CONNECTION_WATCH_H_
 
 #include <functional>
+#include <optional>
 
 #include <boost/asio/execution_context.hpp>
 
@@ -54,6 +55,9 @@
   // how long the peer may take none.
   void WatchWrite(time_span longest_pause);
 
+  // How long the peer has taken no bytes; zero if it takes them.
+  time_span stalled_for(monotonic_time now) const;
+
   // Call when reading pauses, and when it goes on.
   void WatchForClose();
   void IgnoreClose();
@@ -70,6 +74,7 @@
   transmit_judge judge_;
   time_span longest_pause_{0};
   time_span limit_ = kUnacknowledgedLimit;  // As the kernel has it.
+  std::optional<monotonic_time> stalled_since_;
   bool is_sending_ = false;
   bool watches_for_close_ = false;
 };
--- a/modules/endpoint_link/answer_memory.cc
+++ b/modules/endpoint_link/answer_memory.cc
@@ -42,9 +42,10 @@
   const std::size_t held_after = held_by_endpoint_[taker.endpoint_] + bytes;
   while (held_ + bytes > total_limit_) {
     answer_share* largest = FindLargest(taker, held_after);
-    if (largest == nullptr)
+    if (largest != nullptr)
+      largest->Withdraw();
+    else if (!reclaim_())
       return false;
-    largest->Withdraw();
   }
   return true;
 }
--- a/modules/endpoint_link/answer_memory.h
+++ b/modules/endpoint_link/answer_memory.h
@@ -2,9 +2,11 @@
 // that is read until the answer is written to its caller.
 //
 // When it is used up, answers that are still being read give way: those of the
-// endpoint that holds most go first. So whatever faulty endpoints send, an
-// answer is sure of the memory that complete answers leave, divided by the
-// number of endpoints whose answers are being read.
+// endpoint that holds most go first. Complete answers give way after them, and
+// only those of callers that have stopped reading. So whatever faulty endpoints
+// send, an answer is sure of the memory that complete answers of reading
+// callers leave, divided by the number of endpoints whose answers are being
+// read.
 #ifndef MODULES_ENDPOINT_LINK_ANSWER_MEMORY_H_
 #define MODULES_ENDPOINT_LINK_ANSWER_MEMORY_H_
 
@@ -14,6 +16,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace papayakeel {
 
@@ -27,6 +30,11 @@
   std::size_t single_limit() const { return single_limit_; }
   std::size_t total_limit() const { return total_limit_; }
   std::size_t held() const { return held_; }
+  // Sets what frees memory of complete answers, and returns whether it has. It
+  // must not end an exchange before it returns.
+  void SetReclaimHook(std::function<bool()> reclaim) {
+    reclaim_ = std::move(reclaim);
+  }
   // Answers that gave way to others.
   std::uint64_t withdrawn_total() const { return withdrawn_total_; }
 
@@ -34,7 +42,8 @@
   friend class answer_share;
 
   // Takes shares back until `taker` can grow by `bytes`. Returns false if that
-  // is not enough: no other endpoint holds more than that of `taker` would.
+  // is not enough: no other endpoint holds more than that of `taker` would, and
+  // no complete answer gives way.
   bool MakeRoom(const answer_share& taker, std::size_t bytes);
   // The largest share of the endpoint that holds most, without that of `taker`.
   // Null if none holds more than `bytes`.
@@ -42,6 +51,7 @@
 
   const std::size_t single_limit_;
   const std::size_t total_limit_;
+  std::function<bool()> reclaim_ = [] { return false; };
   std::size_t held_ = 0;
   // Answers that are being read, and their bytes by endpoint. Endpoints that
   // hold none need no entry.
@@ -68,7 +78,8 @@
   // the share itself has been taken back, or if there is no room for it.
   bool Resize(std::size_t bytes);
 
-  // The answer is complete. Its share is not taken back any more.
+  // The answer is complete. Its share is not taken back any more; the hook for
+  // complete answers may end it.
   void Complete();
 
  private:
--- a/modules/endpoint_link/endpoint_link.h
+++ b/modules/endpoint_link/endpoint_link.h
@@ -60,7 +60,7 @@
   std::uint64_t opened_total() const { return opened_total_; }
   std::uint64_t reused_total() const { return reused_total_; }
   std::size_t running() const { return running_.size(); }
-  const answer_memory& memory() const { return *memory_; }
+  answer_memory& memory() { return *memory_; }
 
  private:
   using connection_pointer = std::shared_ptr<detail::endpoint_connection>;
--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -27,6 +27,10 @@
 // Time limit for writing a response and for a pause within a request body.
 constexpr time_span kStallTimeout = std::chrono::seconds(10);
 
+// A caller that takes no bytes for this long loses its answers if others need
+// the memory. Callers that read see shorter pauses.
+constexpr time_span kGiveWayTime = std::chrono::seconds(1);
+
 // Time to keep reading after the last response. Closing a socket with unread
 // bytes sends a reset, which can make the caller lose the response.
 constexpr time_span kLingerTime = std::chrono::seconds(1);
@@ -437,6 +441,11 @@
 }
 
 void caller_session::LoseCaller(std::string_view reason) {
+  ReportLoss(reason);
+  OnCallerDisconnected();
+}
+
+void caller_session::ReportLoss(std::string_view reason) {
   if (host_ == nullptr)
     return;
   boost::system::error_code ignored;
@@ -445,22 +454,49 @@
   lost.reason = reason;
   lost.unanswered = pending_.size() + (is_writing_ ? 1 : 0);
   host_->lost(lost);
-  OnCallerDisconnected();
 }
 
 void caller_session::OnCallerDisconnected() {
-  if (host_ == nullptr)
-    return;
-  std::deque<pending_answer> pending;
-  pending.swap(pending_);
-  session_host* host = host_;
   const std::shared_ptr<caller_session> self = shared_from_this();
-  Close();
-  for (const pending_answer& each : pending) {
+  for (const std::function<void()>& callback : EndConnection())
+    callback();
+}
+
+std::vector<std::function<void()>> caller_session::EndConnection() {
+  std::vector<std::function<void()>> callbacks;
+  if (host_ == nullptr)
+    return callbacks;
+  for (pending_answer& each : pending_) {
     if (each.disconnect_callback)
-      each.disconnect_callback();
+      callbacks.push_back(std::move(each.disconnect_callback));
   }
+  pending_.clear();
+  session_host* host = host_;
+  Close();
   host->closed(*this);
+  return callbacks;
+}
+
+bool caller_session::IsStalled(monotonic_time now) const {
+  return watch_.stalled_for(now) >= kGiveWayTime;
+}
+
+std::size_t caller_session::held_answer_bytes() const {
+  std::size_t bytes = outgoing_.size();
+  for (const pending_answer& each : pending_)
+    bytes += each.response.body().size();
+  return bytes;
+}
+
+void caller_session::GiveWay() {
+  const std::shared_ptr<caller_session> self = shared_from_this();
+  ReportLoss("memory");
+  outgoing_memory_.reset();
+  // A callback may end the exchange that needs the memory.
+  boost::asio::post(socket_.get_executor(), [callbacks = EndConnection()] {
+    for (const std::function<void()>& callback : callbacks)
+      callback();
+  });
 }
 
 }  // namespace papayakeel
--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -9,6 +9,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,6 +47,16 @@
   // after its next response.
   void Drain(bool close_idle);
   void Close();
+
+  // Whether the caller has taken no bytes for so long that its answers may give
+  // way to others.
+  bool IsStalled(monotonic_time now) const;
+  // Bytes of answers that wait for the caller.
+  std::size_t held_answer_bytes() const;
+  // Drops these answers and closes the connection. Requests without an answer
+  // learn of it later from the event loop.
+  void GiveWay();
+
   bool is_idle() const { return pending_.empty() && !parser_; }
 
  private:
@@ -87,9 +99,13 @@
   void OnWritten(bool closes);
   void Linger();
   void OnCallerDisconnected();
+  // Closes the connection and returns the disconnect callbacks of the requests
+  // without an answer.
+  std::vector<std::function<void()>> EndConnection();
   // As OnCallerDisconnected, for a caller that did not close the connection
   // itself. `reason` goes to the log.
   void LoseCaller(std::string_view reason);
+  void ReportLoss(std::string_view reason);
   // Tells why a read or a write has failed.
   void OnIoError(const boost::system::error_code& error);
 
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -114,6 +114,8 @@
   services_.context = &loop_->context();
   services_.slots = registry_.Find<slot_link>(slot_link::kName);
   services_.endpoints = registry_.Find<endpoint_link>(endpoint_link::kName);
+  services_.endpoints->memory().SetReclaimHook(
+      [this] { return ReclaimAnswerMemory(); });
   services_.headers = &contract_.headers;
   services_.availability_zone = settings_.availability_zone;
   services_.may_pass_on = [](monotonic_time) { return true; };
@@ -411,6 +413,23 @@
   return runs.size();
 }
 
+bool entry_gateway::ReclaimAnswerMemory() {
+  const monotonic_time now = event_loop::Now();
+  caller_session* largest = nullptr;
+  for (caller_session* each : sessions_) {
+    if (!each->IsStalled(now) || each->held_answer_bytes() == 0)
+      continue;
+    if (largest == nullptr ||
+        each->held_answer_bytes() > largest->held_answer_bytes()) {
+      largest = each;
+    }
+  }
+  if (largest == nullptr)
+    return false;
+  largest->GiveWay();
+  return true;
+}
+
 std::vector<std::shared_ptr<request_run>> entry_gateway::Runs() const {
   std::vector<std::shared_ptr<request_run>> runs;
   runs.reserve(runs_.size());
--- a/modules/entry_gateway/entry_gateway.h
+++ b/modules/entry_gateway/entry_gateway.h
@@ -93,6 +93,9 @@
       std::function<http_response(const http_request&)> answer);
   // Requests in flight, which may end while the list is used.
   std::vector<std::shared_ptr<request_run>> Runs() const;
+  // Ends the connection of the stalled caller that holds most answers. Returns
+  // false if there is none.
+  bool ReclaimAnswerMemory();
   void CollectMetrics(metric_sink& sink) const;
 
   service_registry& registry_;
--- a/modules/entry_gateway/session_host.h
+++ b/modules/entry_gateway/session_host.h
@@ -40,7 +40,8 @@
   std::string address;
   // "stalled": the caller took no bytes for too long. "silent": nor did it
   // answer the kernel's probes. "unreachable": it did not acknowledge sent
-  // bytes, or did not answer keep-alive probes.
+  // bytes, or did not answer keep-alive probes. "memory": it took no bytes, and
+  // its answers gave way to others.
   std::string_view reason;
   std::size_t unanswered = 0;  // Requests whose answers are lost with it.
 };
--- a/tests/modules/endpoint_link/answer_memory_test.cc
+++ b/tests/modules/endpoint_link/answer_memory_test.cc
@@ -97,4 +97,28 @@
   LONGS_EQUAL(0, memory->held());
 }
 
+// Guards against answers that find no memory because callers that have stopped
+// reading hold it; those of endpoints that send too much still give way first.
+TEST(answer_memory, CompleteAnswersGiveWayLast) {
+  answer_share& held = Add("held");
+  CHECK(held.Resize(memory->single_limit()));
+  held.Complete();
+  int reclaimed = 0;
+  memory->SetReclaimHook([this, &reclaimed] {
+    ++reclaimed;
+    if (reclaimed == 1)
+      shares.pop_front();
+    return reclaimed == 1;
+  });
+  CHECK(Add("large").Resize(memory->single_limit()));
+  CHECK(Add("small").Resize(1000));
+  LONGS_EQUAL(0, reclaimed);
+  LONGS_EQUAL(1, withdrawn.size());
+  STRCMP_EQUAL("large", withdrawn.front().c_str());
+  CHECK(Add("other").Resize(memory->single_limit() - 1000));
+  CHECK(shares.back().Resize(memory->single_limit()));
+  LONGS_EQUAL(1, reclaimed);
+  CHECK(shares.back().Resize(memory->single_limit()));
+}
+
 }  // namespace papayakeel
--- a/tests/modules/entry_gateway/caller_session_test.cc
+++ b/tests/modules/entry_gateway/caller_session_test.cc
@@ -128,6 +128,7 @@
     }
   }
 
+  caller_session& session() { return *session_; }
   void Leave() { caller_.close(); }
   void GoDark() { DropArrivingPackets(caller_.native_handle()); }
 
@@ -358,6 +359,35 @@
   LONGS_EQUAL(2, fixture.unanswered);
 }
 
+// Guards against answers of callers that have stopped reading and that leave no
+// memory for those of others.
+TEST(caller_session, StalledCallerGivesWay) {
+  session_fixture fixture;
+  fixture.answers_at_once = false;
+  fixture.answer_body.assign(kLateAnswers * kLateAnswerBytes, 'x');
+  fixture.is_reading = false;
+  fixture.Send(NumberedRequest(1) + NumberedRequest(2) + NumberedRequest(3));
+  CHECK(fixture.RunUntil([&] { return fixture.requests.size() == 3; }));
+  int cancelled = 0;
+  fixture.requests[2].session->SetDisconnectCallback(
+      fixture.requests[2].number, [&cancelled] { ++cancelled; });
+  fixture.Answer(0);
+  fixture.Answer(1);
+  fixture.RunFor(milliseconds(500));
+  CHECK_FALSE(fixture.session().IsStalled(event_loop::Now()));
+  fixture.RunFor(seconds(1));
+  CHECK(fixture.session().IsStalled(event_loop::Now()));
+  CHECK(fixture.session().held_answer_bytes() >=
+        2 * fixture.answer_body.size());
+  fixture.session().GiveWay();
+  LONGS_EQUAL(0, cancelled);
+  fixture.Run();
+  LONGS_EQUAL(1, cancelled);
+  LONGS_EQUAL(0, fixture.session().held_answer_bytes());
+  STRCMP_EQUAL("memory", fixture.losses.front().c_str());
+  LONGS_EQUAL(3, fixture.unanswered);
+}
+
 // Guards against dark callers that are taken for late ones.
 TEST(caller_session, CallerThatGoesDarkWithAClosedWindowIsLetGo) {
   session_fixture fixture;
