--- a/modules/entry_gateway/caller_session.cc
+++ b/modules/entry_gateway/caller_session.cc
@@ -28,7 +28,7 @@
 constexpr time_span kStallTimeout = std::chrono::seconds(10);
 
 // A caller that takes no bytes for this long loses its answers if others need
-// the memory. Callers that read see shorter pauses.
+// the memory.
 constexpr time_span kGiveWayTime = std::chrono::seconds(1);
 
 // Time to keep reading after the last response. Closing a socket with unread
