Test a stop during an upload that its endpoint reads late

late_reader_path.AStopWaitsForAnUploadThatIsReadLate: a VM that stops, a caller whose limit is 4 s, an endpoint that reads the body 2.5 s after the head.

--- a/tests/platform/process/late_reader_path_test.cc
+++ b/tests/platform/process/late_reader_path_test.cc
@@ -1,4 +1,6 @@
-// Callers of a small entry VM, some of which have stopped reading.
+// Entry VMs between callers and endpoints that read late.
+#include <signal.h>
+
 #include <list>
 #include <optional>
 #include <string>
@@ -6,6 +8,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "tests/platform/process/platform_stand_in.h"
@@ -33,6 +37,11 @@
 constexpr int kOtherCalls = 40;
 constexpr milliseconds kCallerLimit{4000};
 
+constexpr std::size_t kUploadBytes = 360'000;
+// Most of the caller's limit, and of the stand-in's grace period of 6 s.
+constexpr milliseconds kLatePause{2500};
+constexpr milliseconds kBeforeStop{300};
+
 std::string MakeRequest(const std::string& id) {
   return "GET /look/s HTTP/1.1\r\nHost: a.example\r\nPapayakeel-Request-Id: " +
          id +
@@ -40,6 +49,72 @@
          "\r\n\r\n";
 }
 
+// An endpoint that reads the head of one upload, works, and reads the body when
+// its work needs it.
+class late_endpoint {
+ public:
+  late_endpoint()
+      : acceptor_(context_, boost::asio::ip::tcp::v4()), connection_(context_) {
+    acceptor_.set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+    acceptor_.bind({boost::asio::ip::address_v4::loopback(), 0});
+    acceptor_.listen();
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~late_endpoint() {
+    // Ends a call of the thread that still waits.
+    shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    thread_.join();
+  }
+  late_endpoint(const late_endpoint&) = delete;
+  late_endpoint& operator=(const late_endpoint&) = delete;
+
+  network_address address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  // Status checks come on connections of their own.
+  void Serve() {
+    boost::system::error_code error;
+    while (!error) {
+      connection_ = boost::asio::ip::tcp::socket(context_);
+      acceptor_.accept(connection_, error);
+      if (!error)
+        Answer();
+    }
+  }
+
+  void Answer() {
+    boost::system::error_code error;
+    std::string received;
+    const std::size_t head = boost::asio::read_until(
+        connection_, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+    const std::string id_header = "Papayakeel-Request-Id: ";
+    const std::size_t id_start = received.find(id_header);
+    std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+    if (id_start != std::string::npos) {
+      std::this_thread::sleep_for(kLatePause);
+      boost::asio::read(connection_, boost::asio::dynamic_buffer(received),
+                        boost::asio::transfer_exactly(kUploadBytes -
+                                                      (received.size() - head)),
+                        error);
+      const std::size_t id_end = received.find('\r', id_start);
+      answer += received.substr(id_start, id_end - id_start) +
+                "\r\nPapayakeel-Response-Seal: s\r\n";
+    }
+    if (!error)
+      boost::asio::write(connection_, boost::asio::buffer(answer + "\r\n"),
+                         error);
+    connection_.close(error);
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket connection_;
+  std::thread thread_;
+};
+
 }  // namespace
 
 TEST_GROUP(late_reader_path) {
@@ -89,4 +164,32 @@
   CHECK(site.LogOf(0).find("reason=memory") != std::string::npos);
 }
 
+// Guards against a stop that breaks off an upload at which its endpoint is at
+// work, because the endpoint reads the body late (LOST).
+TEST(late_reader_path, AStopWaitsForAnUploadThatIsReadLate) {
+  late_endpoint endpoint;
+  site.PutState(3, {"/look/"});
+  site.SetPublishedAddress(site.AddEndpoint(milliseconds(5)),
+                           endpoint.address());
+  site.AddEntryVm();
+  CHECK(WaitUntil([&] { return site.IsReady(0); }));
+  std::optional<http_response> answer;
+  std::thread caller([&] {
+    answer =
+        Send(site.CallersOf(0), http::verb::post, "/book/late",
+             {{"Host", "a.example"},
+              {"Papayakeel-Request-Id", "late"},
+              {"Papayakeel-Deadline-Ms", std::to_string(kCallerLimit.count())}},
+             std::string(kUploadBytes, 'x'), kCallerLimit + seconds(1));
+  });
+  std::this_thread::sleep_for(kBeforeStop);
+  site.entry_vm(0).Signal(SIGTERM);
+  caller.join();
+  CHECK(answer.has_value());
+  LONGS_EQUAL(200, answer->result_int());
+  const std::optional<int> status = site.entry_vm(0).Wait(seconds(8));
+  CHECK(status.has_value());
+  LONGS_EQUAL(0, *status);
+}
+
 }  // namespace papayakeel::platform
