--- a/modules/entry_gateway/caller_session.h
+++ b/modules/entry_gateway/caller_session.h
@@ -106,7 +106,7 @@
   // itself. `reason` goes to the log.
   void LoseCaller(std::string_view reason);
   void ReportLoss(std::string_view reason);
-  // Tells why a read or a write has failed.
+  // Ends the connection after a failed read or write.
   void OnIoError(const boost::system::error_code& error);
 
   session_host* host_;  // Null after Close.
--- a/tests/drivers/connection_watch_test.cc
+++ b/tests/drivers/connection_watch_test.cc
@@ -10,10 +10,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
-#include "drivers/event_loop.h"
 #include "drivers/socket_options.h"
 #include "tests/modules/support/late_peer.h"
 #include "tests/modules/support/packet_filter.h"
+#include "tests/modules/support/run_until.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -22,7 +22,6 @@
 namespace {
 
 using boost::asio::ip::tcp;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr seconds kLongestPause{10};
@@ -78,12 +77,7 @@
 
   // Runs the event loop, and returns whether `is_done` within `limit`.
   bool RunUntil(time_span limit, const std::function<bool()>& is_done) {
-    const monotonic_time end = event_loop::Now() + limit;
-    while (!is_done() && event_loop::Now() < end) {
-      context.restart();
-      context.run_for(milliseconds(5));
-    }
-    return is_done();
+    return papayakeel::RunUntil(context, limit, is_done);
   }
 
   void RunFor(time_span span) {
--- a/tests/modules/endpoint_link/late_endpoint_test.cc
+++ b/tests/modules/endpoint_link/late_endpoint_test.cc
@@ -9,6 +9,7 @@
 #include "modules/endpoint_link/endpoint_link.h"
 #include "platform/platform_contracts.h"
 #include "tests/modules/support/late_peer.h"
+#include "tests/modules/support/run_until.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -63,10 +64,8 @@
 
   // Runs the event loop until the exchange ends; returns whether it has.
   bool RunFor(time_span span) {
-    const monotonic_time end = event_loop::Now() + span;
-    while (!result && event_loop::Now() < end)
-      loop->context().run_for(milliseconds(2));
-    return result.has_value();
+    return RunUntil(loop->context(), span,
+                    [this] { return result.has_value(); });
   }
 
   void CheckOutcome(attempt_outcome expected) {
--- a/tests/modules/http/http_session_test.cc
+++ b/tests/modules/http/http_session_test.cc
@@ -7,9 +7,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
-#include "drivers/event_loop.h"
 #include "modules/http/http_listener.h"
 #include "tests/modules/support/late_peer.h"
+#include "tests/modules/support/run_until.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -18,7 +18,6 @@
 namespace {
 
 using boost::asio::ip::tcp;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const std::string kRequest = "GET /a/ HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -55,12 +54,7 @@
   }
 
   bool RunUntil(time_span limit, const std::function<bool()>& is_done) {
-    const monotonic_time end = event_loop::Now() + limit;
-    while (!is_done() && event_loop::Now() < end) {
-      context.restart();
-      context.run_for(milliseconds(5));
-    }
-    return is_done();
+    return papayakeel::RunUntil(context, limit, is_done);
   }
 
   void CheckLeavingIsNoticed() {
--- a/tests/modules/server_link/server_link_test.cc
+++ b/tests/modules/server_link/server_link_test.cc
@@ -11,6 +11,7 @@
 #include "drivers/event_loop.h"
 #include "tests/modules/support/endless_answers.h"
 #include "tests/modules/support/late_peer.h"
+#include "tests/modules/support/run_until.h"
 #include "tests/modules/support/scripted_server.h"
 
 #include <CppUTest/TestHarness.h>
@@ -112,10 +113,7 @@
     result = std::move(ended);
   });
   const auto run_for = [this, &result](time_span span) {
-    const monotonic_time end = event_loop::Now() + span;
-    while (!result && event_loop::Now() < end)
-      context.run_for(milliseconds(2));
-    return result.has_value();
+    return RunUntil(context, span, [&result] { return result.has_value(); });
   };
   context.run_for(milliseconds(10));
   late.Accept();
