Break bodies without a length that end after a failed write

An endpoint answered an upload early, without a length, and reset the connection. The kernel reports a reset once: the pending write received it, and the next read an end of stream, which ended the body as if it were whole.

answer_reader::OnWriteFailed records a failed write; an end of stream then no longer ends a body without a length. When the write has not ended at the end of the stream, the state of the connection decides, because the handler of a failed write may run later than that of the read (not observed). http_fetch reads on after a failed write, so that a whole response before a reset is delivered.

Answers with a length or in chunks, and clean closes, were delivered and still are.

--- a/drivers/tcp_state.cc
+++ b/drivers/tcp_state.cc
@@ -40,6 +40,7 @@
   }
   tcp_state state;
   state.is_peer_closed = IsPeerClosed(info.tcpi_state);
+  state.is_closed = info.tcpi_state == kClosed;
   state.unacknowledged_segments = info.tcpi_unacked;
   state.unsent_bytes = info.tcpi_notsent_bytes;
   state.unanswered_probes = info.tcpi_probes;
--- a/drivers/tcp_state.h
+++ b/drivers/tcp_state.h
@@ -13,6 +13,8 @@
   // The peer has closed or reset the connection, or has closed its sending
   // half. Also true while bytes that arrived before are not read yet.
   bool is_peer_closed = false;
+  // Neither half is open: the connection was reset, or the kernel has ended it.
+  bool is_closed = false;
   std::uint32_t unacknowledged_segments = 0;
   std::uint32_t unsent_bytes = 0;  // Written, but not sent yet.
   // Window or keep-alive probes in a row without an answer.
--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -12,6 +12,7 @@
 
 #include "drivers/event_loop.h"
 #include "drivers/socket_options.h"
+#include "drivers/tcp_state.h"
 
 namespace papayakeel {
 namespace detail {
@@ -171,6 +172,8 @@
         // After an error the connection is not reused, but the endpoint may
         // have sent an answer already, so the read goes on.
         self->is_writing_ = error.failed();
+        if (error)
+          self->reader_.OnWriteFailed();
       });
   // An endpoint may read a long body late.
   watch_.WatchWrite(exchange_.deadline - event_loop::Now());
@@ -191,11 +194,21 @@
   stream_.async_read_some(
       buffer, [self = shared_from_this()](
                   const boost::system::error_code& error, std::size_t size) {
-        if (self->done_)
-          self->OnState(self->reader_.Receive(error, size));
+        if (!self->done_)
+          return;
+        if (error == boost::asio::error::eof && self->is_writing_)
+          self->CheckUnfinishedWrite();
+        self->OnState(self->reader_.Receive(error, size));
       });
 }
 
+void endpoint_connection::CheckUnfinishedWrite() {
+  const std::optional<tcp_state> state =
+      ReadTcpState(stream_.socket().native_handle());
+  if (state && state->is_closed)
+    reader_.OnWriteFailed();
+}
+
 void endpoint_connection::OnState(answer_state state) {
   if (state == answer_state::kBroken)
     return Finish(attempt_outcome::kBroken, reader_.error());
--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -53,6 +53,9 @@
   void Write();
   void Read();
   void ReadSome(const boost::asio::mutable_buffer& buffer);
+  // Tells the reader that a write which has not ended will fail, or has failed
+  // without its handler having been called yet.
+  void CheckUnfinishedWrite();
   void OnState(answer_state state);
   void HandleAnswer();
   // Reads on after an answer that is not the one to this exchange.
@@ -84,8 +87,8 @@
   endpoint_callback done_;  // Set while an exchange runs.
   bool is_open_ = false;
   bool is_clean_ = false;
-  bool is_writing_ = false;
-  bool has_sent_ = false;  // A part of the request may be sent.
+  bool is_writing_ = false;  // The write has not ended, or has failed.
+  bool has_sent_ = false;    // A part of the request may be sent.
   bool has_timed_out_ = false;
   bool has_carried_exchange_ = false;
   // Hashes of the ids in the refusals that were read on this connection. Two
--- a/modules/http/answer_reader.cc
+++ b/modules/http/answer_reader.cc
@@ -57,6 +57,8 @@
     return Break(error.message());
   if (!parser_->got_some())
     return Break("end of stream");
+  if (has_write_failed_ && parser_->need_eof())
+    return Break("end of stream after a failed write");
   boost::system::error_code end_error;
   parser_->put_eof(end_error);
   if (end_error)
--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -43,6 +43,10 @@
 
   // Returns where the next bytes from the server go.
   boost::asio::mutable_buffer Prepare();
+  // Call when a write on the connection has failed. The kernel reports a reset
+  // only once, and the write may have received the report: an end of stream
+  // then no longer shows that a body without a length is whole.
+  void OnWriteFailed() { has_write_failed_ = true; }
   // Takes the result of a read into the prepared buffer.
   answer_state Receive(const boost::system::error_code& error,
                        std::size_t size);
@@ -79,6 +83,7 @@
   answer_limits limits_;
   std::size_t parsed_bytes_ = 0;
   std::string error_;
+  bool has_write_failed_ = false;  // Holds for all answers on the connection.
 };
 
 }  // namespace papayakeel
--- a/modules/http/http_fetch.cc
+++ b/modules/http/http_fetch.cc
@@ -70,8 +70,10 @@
     http::async_write(stream_, request_.request,
                       [self = shared_from_this()](
                           const boost::system::error_code& error, std::size_t) {
+                        // A server may respond early and close the
+                        // connection.
                         if (error)
-                          return self->Finish(fetch_error_code::kBroken);
+                          self->reader_.OnWriteFailed();
                         self->Read();
                       });
   }
--- a/modules/server_link/server_connection.cc
+++ b/modules/server_link/server_connection.cc
@@ -141,9 +141,11 @@
   has_sent_ = true;
   http::async_write(stream_, outgoing_,
                     [self = shared_from_this()](
-                        const boost::system::error_code&, std::size_t) {
+                        const boost::system::error_code& error, std::size_t) {
                       // A server may respond early and close the connection,
                       // therefore the read goes on even after a write error.
+                      if (error)
+                        self->reader_.OnWriteFailed();
                     });
   // A server may read a long body late.
   watch_.WatchWrite(exchange_.deadline - event_loop::Now());
--- a/modules/server_link/server_connection.h
+++ b/modules/server_link/server_connection.h
@@ -65,6 +65,8 @@
   exchange_callback done_;  // Set while an exchange runs.
   bool is_open_ = false;
   bool is_clean_ = false;  // Open; last response complete, keep-alive allowed.
+  // The write has not ended, or has failed. It uses `outgoing_`.
+  bool is_writing_ = false;
   bool has_sent_ = false;  // Bytes of the current request may have been sent.
   bool has_carried_exchange_ = false;
   bool is_leaving_ = false;
--- a/tests/modules/http/answer_reader_test.cc
+++ b/tests/modules/http/answer_reader_test.cc
@@ -108,6 +108,29 @@
   }
 }
 
+// Guards against an end of stream that ends a body after a reset, whose report
+// a failed write has received, and against whole answers that are dropped then.
+TEST(answer_reader, EndsAfterAFailedWriteEndNoBody) {
+  for (const whole_answer& answer : Answers()) {
+    for (const bool has_failed_before : {false, true}) {
+      answer_reader reader;
+      if (has_failed_before)
+        reader.OnWriteFailed();
+      reader.Start({});
+      const answer_state state = Feed(reader, answer.bytes, 7);
+      if (!answer.ends_with_connection) {
+        CHECK_TRUE_TEXT(state == answer_state::kComplete, answer.name);
+        continue;
+      }
+      CHECK(state == answer_state::kIncomplete);
+      reader.OnWriteFailed();
+      CHECK(reader.Receive(boost::asio::error::eof, 0) ==
+            answer_state::kBroken);
+      CHECK_FALSE(reader.is_complete());
+    }
+  }
+}
+
 // Guards against framing in single bytes that makes the reader copy all that it
 // holds with each of them.
 TEST(answer_reader, SingleBytesMoveTheBufferRarely) {
--- a/tests/modules/http/http_fetch_test.cc
+++ b/tests/modules/http/http_fetch_test.cc
@@ -24,6 +24,8 @@
 
 constexpr char kStart[] = "HTTP/1.1 200 OK\r\nPapayakeel-Request-Id: r1\r\n";
 
+// More than the kernels take of a request that is not read.
+constexpr std::size_t kUploadBytes = 8 << 20;
 constexpr std::size_t kAnswerLimit = 512 << 10;
 // What the kernels may hold of the written bytes.
 constexpr std::uint64_t kKernelBytes = 8 << 20;
@@ -34,6 +36,7 @@
   boost::asio::io_context context;
   std::unique_ptr<scripted_server> server;
   fetch_request fetch_limits_;
+  std::size_t upload_bytes_ = 0;
 
   void setup() override {
     fetch_limits_.timeout = seconds(20);
@@ -51,6 +54,10 @@
     fetch_request fetch = fetch_limits_;
     fetch.server = server->address();
     fetch.request = http_request(http::verb::get, "/", 11);
+    if (upload_bytes_ > 0) {
+      fetch.request.method(http::verb::post);
+      fetch.request.body() = std::string(upload_bytes_, 'x');
+    }
     fetch.max_answer_bytes = kAnswerLimit;
     std::optional<fetch_result> result;
     Fetch(context, std::move(fetch),
@@ -98,6 +105,26 @@
   CHECK(empty.has_value());
 }
 
+// Guards against part of a response without a length that counts as whole
+// because the server reset the connection while the request was being written,
+// and against whole responses that are lost with it.
+TEST(http_fetch, ResetsWhileTheRequestIsWritten) {
+  upload_bytes_ = kUploadBytes;
+  const std::string head = "HTTP/1.1 413 Too Long\r\n";
+  for (const script_end end : {script_end::kReset, script_end::kResetAtOnce}) {
+    const fetch_result part = FetchFrom({head + "\r\npart", "", {}, end});
+    CHECK_FALSE(part.has_value());
+    STRCMP_EQUAL("broken", ToString(part.error()));
+    for (const std::string& whole :
+         {head + "Content-Length: 2\r\n\r\nno",
+          head + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"}) {
+      const fetch_result result = FetchFrom({whole, "", {}, end});
+      CHECK(result.has_value());
+      STRCMP_EQUAL("no", result->body().c_str());
+    }
+  }
+}
+
 // Guards against a large response that is given up again and again because its
 // link is slow.
 TEST(http_fetch, ReadsOnWhileTheResponseArrives) {
--- a/tests/modules/server_link/server_link_test.cc
+++ b/tests/modules/server_link/server_link_test.cc
@@ -35,6 +35,7 @@
   boost::asio::io_context context;
   std::unique_ptr<server_link> link;
   std::unique_ptr<scripted_server> server;
+  std::size_t upload_bytes_ = 0;  // 0: a request without a body.
 
   void setup() override {
     link = std::make_unique<server_link>(context, server_link_settings());
@@ -51,11 +52,21 @@
           return script;
         });
     link->SetConnectionShare(server->address(), 1);
+    return ExchangeOnce();
+  }
+
+  // With the server that is there.
+  exchange_result ExchangeOnce() {
     exchange_request exchange;
     exchange.id = 7;
     exchange.endpoint = server->address();
-    exchange.request = std::make_shared<const http_request>(
-        http_request(http::verb::get, "/", 11));
+    http_request request(http::verb::get, "/", 11);
+    if (upload_bytes_ > 0) {
+      request.method(http::verb::post);
+      request.body() = std::string(upload_bytes_, 'x');
+      request.prepare_payload();
+    }
+    exchange.request = std::make_shared<const http_request>(std::move(request));
     exchange.deadline = event_loop::Now() + seconds(20);
     exchange.max_answer_bytes = kAnswerLimit;
     exchange.answer_id_header = "Papayakeel-Request-Id";
@@ -125,4 +136,30 @@
   CHECK(result->result == attempt_result::kAnswered);
 }
 
+// Guards against part of a response that counts as whole because the server
+// reset the connection while the upload was being written, and against whole
+// responses that are lost with it.
+TEST(server_link, EarlyResponsesToAnUpload) {
+  const std::string head = "HTTP/1.1 200 OK\r\nPapayakeel-Request-Id: 7\r\n";
+  upload_bytes_ = kUnreadBytes;
+  for (const std::size_t read_first : {std::size_t{0}, std::size_t{1} << 20}) {
+    const auto ends_as = [&](const std::string& bytes, script_end end) {
+      return Exchange({bytes, "", {}, end, read_first}).result;
+    };
+    for (const script_end end :
+         {script_end::kReset, script_end::kResetAtOnce}) {
+      CHECK(ends_as(head + "\r\npart", end) == attempt_result::kUnknown);
+    }
+    for (const script_end end :
+         {script_end::kReset, script_end::kResetAtOnce, script_end::kHalfClose,
+          script_end::kKeepOpen}) {
+      CHECK(ends_as(head + "Content-Length: 2\r\n\r\nok", end) ==
+            attempt_result::kAnswered);
+      CHECK(ends_as(head + "Transfer-Encoding: chunked\r\n\r\n"
+                           "2\r\nok\r\n0\r\n\r\n",
+                    end) == attempt_result::kAnswered);
+    }
+  }
+}
+
 }  // namespace papayakeel
--- a/tests/modules/support/scripted_server.cc
+++ b/tests/modules/support/scripted_server.cc
@@ -1,10 +1,12 @@
-// Requests are read up to the end of their headers; bodies are not expected.
+// Requests are read up to the end of their headers, and of their bodies what
+// the script names.
 #include "tests/modules/support/scripted_server.h"
 
 #include <algorithm>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -75,11 +77,36 @@
         ++requests_;
         connection->script =
             script_(connection->index, connection->requests++, header);
+        ReadBody(connection);
+      });
+}
+
+void scripted_server::ReadBody(const connection_pointer& connection) {
+  const std::size_t wanted = connection->script.read_first;
+  const std::size_t missing =
+      wanted - std::min(wanted, connection->received.size());
+  boost::asio::async_read(
+      connection->socket, boost::asio::dynamic_buffer(connection->received),
+      boost::asio::transfer_exactly(missing),
+      [this, connection, wanted](const boost::system::error_code& error,
+                                 std::size_t) {
+        if (error) {
+          connection->is_closed = true;
+          return;
+        }
+        connection->received.erase(0, wanted);
         Write(connection);
       });
 }
 
 void scripted_server::Write(const connection_pointer& connection) {
+  if (connection->script.end == script_end::kResetAtOnce) {
+    boost::system::error_code ignored;
+    bytes_written_ += boost::asio::write(
+        connection->socket, boost::asio::buffer(connection->script.bytes),
+        ignored);
+    return End(connection);
+  }
   boost::asio::async_write(
       connection->socket, boost::asio::buffer(connection->script.bytes),
       [this, connection](const boost::system::error_code& error,
@@ -97,10 +124,29 @@
       });
 }
 
+void scripted_server::Drain(const connection_pointer& connection) {
+  connection->received.resize(kSendBufferBytes);
+  connection->socket.async_read_some(
+      boost::asio::buffer(connection->received),
+      [connection](const boost::system::error_code& error, std::size_t) {
+        if (!error)
+          return Drain(connection);
+        connection->is_closed = true;
+        boost::system::error_code ignored;
+        connection->socket.close(ignored);
+      });
+}
+
 void scripted_server::End(const connection_pointer& connection) {
-  connection->is_closed = true;
   boost::system::error_code ignored;
-  if (connection->script.end == script_end::kReset) {
+  if (connection->script.end == script_end::kHalfClose) {
+    connection->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    return Drain(connection);
+  }
+  connection->is_closed = true;
+  const bool is_reset = connection->script.end == script_end::kReset ||
+                        connection->script.end == script_end::kResetAtOnce;
+  if (is_reset) {
     connection->socket.set_option(boost::asio::socket_base::linger(true, 0),
                                   ignored);
   }
--- a/tests/modules/support/scripted_server.h
+++ b/tests/modules/support/scripted_server.h
@@ -23,6 +23,10 @@
   kKeepOpen,
   kClose,
   kReset,
+  // Resets it in the same step in which it writes the bytes, so that the peer
+  // notices both at once.
+  kResetAtOnce,
+  kHalfClose,  // Ends its output and reads on until the peer closes.
 };
 
 // What the server writes after a request.
@@ -33,6 +37,8 @@
   // Pause between two writes of `endless`.
   time_span pause{0};
   script_end end = script_end::kKeepOpen;
+  // Bytes of the request's body that are read before anything is written.
+  std::size_t read_first = 0;
 };
 
 // Names the script for a request, given as its bytes. Connections and the
@@ -71,8 +77,10 @@
 
   void Accept();
   void Read(const connection_pointer& connection);
+  void ReadBody(const connection_pointer& connection);
   void Write(const connection_pointer& connection);
   void WriteEndlessly(const connection_pointer& connection);
+  static void Drain(const connection_pointer& connection);
   static void End(const connection_pointer& connection);
 
   boost::asio::io_context& context_;
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -53,6 +53,8 @@
   // "a.example" to the service "booking": the once-only prefix "/book/" and
   // the idempotent prefixes `lookups`.
   void PutState(int version, const std::vector<std::string>& lookups);
+  // The size of a request's body that desired states allow which are put later.
+  void SetBodyLimit(std::size_t bytes) { body_limit_ = bytes; }
 
   // Starts an endpoint that takes `work` for each request and registers it.
   std::size_t AddEndpoint(time_span work);
@@ -144,6 +146,7 @@
   std::string newest_state_;  // As the operator wrote it.
   network_address published_store_address_;
   int memory_megabytes_ = 260;
+  std::size_t body_limit_ = 1 << 20;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
   std::map<std::string, int> arrivals_;  // By request id.
   std::map<std::string, int> runs_;
