Close server connections whose request is not written to the end

A server that answered an upload early and kept the connection open got the next request in the middle of the upload, and the request being written was replaced under the write. endpoint_connection had this check, server_connection did not.

server_link.ConnectionsWithAnUnfinishedUploadAreNotReused failed before (one connection for both requests instead of two) and passes now.

--- a/modules/server_link/server_connection.cc
+++ b/modules/server_link/server_connection.cc
@@ -139,11 +139,13 @@
   outgoing_.set("Papayakeel-Deadline-Ms", std::to_string(left));
   outgoing_.set("Papayakeel-Request-Id", std::to_string(exchange_.id));
   has_sent_ = true;
+  is_writing_ = true;
   http::async_write(stream_, outgoing_,
                     [self = shared_from_this()](
                         const boost::system::error_code& error, std::size_t) {
                       // A server may respond early and close the connection,
                       // therefore the read goes on even after a write error.
+                      self->is_writing_ = error.failed();
                       if (error)
                         self->reader_.OnWriteFailed();
                     });
@@ -196,7 +198,7 @@
       return Finish(attempt_result::kUnknown);
   }
   is_leaving_ = answer.find(kDrainingHeader) != answer.end();
-  is_clean_ = answer.keep_alive();
+  is_clean_ = !is_writing_ && answer.keep_alive();
   Finish(attempt_result::kAnswered);
 }
 
--- a/tests/modules/server_link/server_link_test.cc
+++ b/tests/modules/server_link/server_link_test.cc
@@ -162,4 +162,19 @@
   }
 }
 
+// Guards against a connection that carries the next request while an upload is
+// still being written on it.
+TEST(server_link, ConnectionsWithAnUnfinishedUploadAreNotReused) {
+  upload_bytes_ = kUnreadBytes;
+  const server_script script = {
+      "HTTP/1.1 200 OK\r\nPapayakeel-Request-Id: 7\r\n"
+      "Content-Length: 2\r\n\r\nok",
+      "",
+      {}};
+  CHECK(Exchange(script).result == attempt_result::kAnswered);
+  upload_bytes_ = 0;
+  CHECK(ExchangeOnce().result == attempt_result::kAnswered);
+  LONGS_EQUAL(2, server->connections());
+}
+
 }  // namespace papayakeel
