Break responses with an invalid status

The parser accepts any three digits. A status of 000 to 099 was skipped like an interim one, and the bytes that followed were read as the response; 600 and 999 were passed on, and 101 was treated as an interim status although no upgrade is requested. answer_reader now breaks these for all of its users.

--- a/modules/http/answer_reader.cc
+++ b/modules/http/answer_reader.cc
@@ -22,6 +22,16 @@
 
 constexpr std::size_t kMaxIdleBytes = 8 * 1024;
 
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+constexpr unsigned kSwitchingProtocolsStatus = 101;
+
+// An upgrade is never requested.
+bool IsValidStatus(unsigned status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocolsStatus;
+}
+
 }  // namespace
 
 answer_reader::answer_reader() : buffer_(kMaxBufferedBytes) {}
@@ -85,6 +95,10 @@
     }
     if (error)
       return Break(error.message());
+    if (parser_->is_header_done() &&
+        !IsValidStatus(parser_->get().result_int())) {
+      return Break("invalid status");
+    }
     // Until the header is read, an eager parser would pass over the error of a
     // length beyond the limit.
     parser_->eager(parser_->is_header_done());
--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -53,7 +53,10 @@
   // Parses the bytes that are there.
   answer_state Parse();
 
-  bool is_complete() const { return parser_ && parser_->is_done(); }
+  // A broken answer may have been parsed to its end.
+  bool is_complete() const {
+    return parser_ && parser_->is_done() && error_.empty();
+  }
   // Whether a byte of the answer has arrived.
   bool has_bytes() const { return parser_ && parser_->got_some(); }
   // Whether bytes follow the answer.
--- a/tests/modules/endpoint_link/early_answer_test.cc
+++ b/tests/modules/endpoint_link/early_answer_test.cc
@@ -1,5 +1,5 @@
-// Exchanges whose endpoint answers while the request is still being written, on
-// a fresh and on a kept connection.
+// Exchanges whose endpoint answers while the request is still being written,
+// and exchanges with malformed answers, on a fresh and on a kept connection.
 #include <memory>
 #include <optional>
 #include <string>
@@ -9,6 +9,7 @@
 #include "drivers/event_loop.h"
 #include "modules/endpoint_link/endpoint_link.h"
 #include "platform/platform_contracts.h"
+#include "tests/modules/support/malformed_answers.h"
 #include "tests/modules/support/scripted_server.h"
 
 #include <CppUTest/TestHarness.h>
@@ -143,6 +144,20 @@
     }
     return unexpected;
   }
+
+  std::string Accepted(const std::vector<malformed_answer>& answers) {
+    std::string accepted;
+    for (const malformed_answer& each : answers) {
+      for (const bool is_kept : {false, true}) {
+        next = {each.bytes, "", {}};
+        const endpoint_result result = ExchangeOn(is_kept, 0);
+        if (result.outcome != attempt_outcome::kBroken ||
+            !result.response.body().empty() || result.detail.empty())
+          accepted += each.name + "; ";
+      }
+    }
+    return accepted;
+  }
 };
 
 // Guards against part of a response without a length that reaches the caller as
@@ -182,4 +197,10 @@
   }
 }
 
+// Guards against a status that does not exist and reaches the caller, or is
+// skipped like an interim one.
+TEST(early_answer, InvalidStatusesAreBroken) {
+  STRCMP_EQUAL("", Accepted(MakeInvalidStatuses(ProofOf("r1"))).c_str());
+}
+
 }  // namespace papayakeel
--- a/tests/modules/http/answer_reader_test.cc
+++ b/tests/modules/http/answer_reader_test.cc
@@ -1,4 +1,4 @@
-// Tests of answers that break off, at every byte.
+// Tests of answers that break off, at every byte, and of malformed ones.
 #include "modules/http/answer_reader.h"
 
 #include <algorithm>
@@ -10,6 +10,8 @@
 
 #include <boost/asio/error.hpp>
 
+#include "tests/modules/support/malformed_answers.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace papayakeel {
@@ -52,6 +54,24 @@
   return state;
 }
 
+// Names the answers that are not broken, in whatever pieces they arrive.
+std::string Accepted(const std::vector<malformed_answer>& answers) {
+  std::string accepted;
+  for (const malformed_answer& answer : answers) {
+    for (const std::size_t piece :
+         {std::size_t{1}, std::size_t{7}, answer.bytes.size()}) {
+      answer_reader reader;
+      reader.Start({});
+      const answer_state state = Feed(reader, answer.bytes, piece);
+      const bool is_broken = state == answer_state::kBroken &&
+                             !reader.is_complete() && !reader.error().empty();
+      if (!is_broken)
+        accepted += answer.name + " in " + std::to_string(piece) + "; ";
+    }
+  }
+  return accepted;
+}
+
 constexpr std::size_t kFramingBytes = 100 * 1024;
 constexpr int kMostMoves = 16;
 
@@ -108,6 +128,12 @@
   }
 }
 
+// Guards against an answer with a status that does not exist, or that switches
+// to another protocol, and against what follows it being read as the answer.
+TEST(answer_reader, InvalidStatusesAreBroken) {
+  STRCMP_EQUAL("", Accepted(MakeInvalidStatuses("X-Proof: s\r\n")).c_str());
+}
+
 // Guards against an end of stream that ends a body after a reset, whose report
 // a failed write has received, and against whole answers that are dropped then.
 TEST(answer_reader, EndsAfterAFailedWriteEndNoBody) {
--- a/tests/modules/http/http_fetch_test.cc
+++ b/tests/modules/http/http_fetch_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "tests/modules/support/endless_answers.h"
+#include "tests/modules/support/malformed_answers.h"
 #include "tests/modules/support/scripted_server.h"
 
 #include <CppUTest/TestHarness.h>
@@ -105,6 +106,18 @@
   CHECK(empty.has_value());
 }
 
+// Guards against an entry of the store, a relay or a process that is read from
+// a malformed response.
+TEST(http_fetch, InvalidStatusesAreBroken) {
+  std::string accepted;
+  for (const malformed_answer& each : MakeInvalidStatuses("X-A: a\r\n")) {
+    const fetch_result result = FetchFrom({each.bytes, "", {}});
+    if (result.has_value() || result.error() != fetch_error_code::kBroken)
+      accepted += each.name + "; ";
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
 // Guards against part of a response without a length that counts as whole
 // because the server reset the connection while the request was being written,
 // and against whole responses that are lost with it.
--- a/tests/modules/server_link/server_link_test.cc
+++ b/tests/modules/server_link/server_link_test.cc
@@ -11,6 +11,7 @@
 #include "drivers/event_loop.h"
 #include "tests/modules/support/endless_answers.h"
 #include "tests/modules/support/late_peer.h"
+#include "tests/modules/support/malformed_answers.h"
 #include "tests/modules/support/run_until.h"
 #include "tests/modules/support/scripted_server.h"
 
@@ -136,6 +137,18 @@
   CHECK(result->result == attempt_result::kAnswered);
 }
 
+// Guards against a malformed response that a caller gets, or that hides the
+// response of another exchange.
+TEST(server_link, InvalidStatusesAreUnknown) {
+  std::string accepted;
+  for (const malformed_answer& each :
+       MakeInvalidStatuses("Papayakeel-Request-Id: 7\r\n")) {
+    if (Exchange({each.bytes, "", {}}).result != attempt_result::kUnknown)
+      accepted += each.name + "; ";
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
 // Guards against part of a response that counts as whole because the server
 // reset the connection while the upload was being written, and against whole
 // responses that are lost with it.
--- a/tests/platform/process/early_answer_path_test.cc
+++ b/tests/platform/process/early_answer_path_test.cc
@@ -1,5 +1,5 @@
 // Callers of an entry VM whose endpoint answers an upload before it has read
-// all of it.
+// all of it, and whose answers are malformed.
 #include <atomic>
 #include <string>
 #include <thread>
@@ -8,6 +8,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include "tests/modules/support/malformed_answers.h"
 #include "tests/modules/support/scripted_server.h"
 #include "tests/platform/process/platform_stand_in.h"
 #include "tests/process/support/test_client.h"
@@ -83,6 +84,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
       context.get_executor()};
   std::vector<upload_case> uploads = Uploads();
+  std::vector<malformed_answer> malformed;
   std::atomic<int> fresh_uploads{0};  // Sent on a new connection.
   std::atomic<int> kept_uploads{0};
   scripted_server server{context, [this](std::size_t, std::size_t request,
@@ -95,6 +97,7 @@
   std::thread thread;
 
   void setup() override {
+    malformed = MakeInvalidStatuses(FieldsOf("@"));
     thread = std::thread([this] { context.run(); });
     site.SetBodyLimit(kUploadBytes);
     site.PutState(3, {"/look/"});
@@ -111,7 +114,7 @@
     thread.join();
   }
 
-  // Ids are "up-INDEX-N"; others get a valid answer.
+  // Ids are "up-INDEX-N" and "bad-INDEX-N"; others get a valid answer.
   server_script ScriptFor(const std::string& id) const {
     const std::size_t dash = id.find('-');
     const std::string kind = id.substr(0, dash);
@@ -123,6 +126,13 @@
               upload.end,
               upload.read_first};
     }
+    if (kind == "bad") {
+      std::string bytes = malformed.at(std::stoul(id.substr(dash + 1))).bytes;
+      for (std::size_t at = bytes.find('@'); at != std::string::npos;
+           at = bytes.find('@', at + id.size()))
+        bytes.replace(at, 1, id);
+      return {bytes, "", {}};
+    }
     return {
         "HTTP/1.1 200 OK\r\n" + FieldsOf(id) + "Content-Length: 5\r\n\r\nhello",
         "",
@@ -204,4 +214,24 @@
   CHECK(refused < static_cast<int>(uploads.size() * kRepeats / 4));
 }
 
+// Guards against malformed answers that reach the caller.
+TEST(early_answer_path, MalformedAnswersAreFailures) {
+  std::atomic<int> refused{0};
+  const std::string wrong = RunAll(malformed.size(), [&](std::size_t index) {
+    const std::string number = std::to_string(index);
+    if (index % 2 == 1)
+      Call("first-" + number, "order");
+    const std::optional<http_response> answer =
+        Call("bad-" + number + "-0", "order");
+    const unsigned status = answer ? answer->result_int() : 0;
+    if (status == 503)
+      ++refused;
+    return status == 502 || status == 503
+               ? std::string()
+               : malformed[index].name + ": " + std::to_string(status) + "; ";
+  });
+  STRCMP_EQUAL("", wrong.c_str());
+  CHECK(refused < static_cast<int>(malformed.size() / 4));
+}
+
 }  // namespace papayakeel::platform
