Break responses with a malformed line in the header or trailer section

Beast's parser joins a line that begins with a space or a tab to the field before it, and adds trailer fields to the header section, where they counted as the server's proof or id. Its result does not show what it joined.

field_lines checks the bytes of a section line by line, the header section before the parser gets it and the trailer section behind it; answer_parser adds no trailer field. An incomplete header section stays in the buffer, so that a malformed line still ends the response as soon as it has arrived.

--- a/modules/http/answer_reader.cc
+++ b/modules/http/answer_reader.cc
@@ -32,6 +32,10 @@
          status != kSwitchingProtocolsStatus;
 }
 
+std::string MessageOf(http::error error) {
+  return http::make_error_code(error).message();
+}
+
 }  // namespace
 
 answer_reader::answer_reader() : buffer_(kMaxBufferedBytes) {}
@@ -43,6 +47,7 @@
   parser_.emplace();
   parser_->header_limit(limits.header_bytes);
   parser_->body_limit(limits.body_bytes);
+  head_lines_ = field_lines(true);
   if (limits.is_head)
     parser_->skip(true);
 }
@@ -65,8 +70,10 @@
     return Parse();
   if (error != boost::asio::error::eof)
     return Break(error.message());
-  if (!parser_->got_some())
+  if (!has_bytes())
     return Break("end of stream");
+  if (!parser_->is_header_done())
+    return Break(MessageOf(http::error::partial_message));
   if (has_write_failed_ && parser_->need_eof())
     return Break("end of stream after a failed write");
   boost::system::error_code end_error;
@@ -80,8 +87,15 @@
   while (!parser_->is_done()) {
     if (buffer_.size() == 0)
       return answer_state::kIncomplete;
+    if (!parser_->is_header_done()) {
+      const answer_state head = CheckHead();
+      if (head != answer_state::kComplete)
+        return head;
+    }
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
+    if (!error && parser_->trailer() != nullptr && !CheckTrailer())
+      return answer_state::kBroken;
     buffer_.consume(used);
     parsed_bytes_ += used;
     const bool is_too_long =
@@ -89,7 +103,7 @@
         (parsed_bytes_ - limits_.header_bytes) / 2 > limits_.body_bytes;
     if (is_too_long)
       return Break("answer too long");
-    if (error == http::error::need_more) {
+    if (error == http::error::need_more && parser_->is_header_done()) {
       return buffer_.size() < buffer_.max_size() ? answer_state::kIncomplete
                                                  : Break("answer too long");
     }
@@ -106,6 +120,32 @@
   return answer_state::kComplete;
 }
 
+answer_state answer_reader::CheckHead() {
+  const boost::asio::const_buffer bytes = buffer_.data();
+  const field_lines::state state =
+      head_lines_.Check({static_cast<const char*>(bytes.data()), bytes.size()});
+  if (state == field_lines::state::kMalformed)
+    return Break(head_lines_.error());
+  const bool is_complete = state == field_lines::state::kComplete;
+  const std::size_t size = is_complete ? head_lines_.size() : bytes.size();
+  if (size > limits_.header_bytes)
+    return Break(MessageOf(http::error::header_limit));
+  return is_complete ? answer_state::kComplete : answer_state::kIncomplete;
+}
+
+bool answer_reader::CheckTrailer() {
+  const boost::asio::const_buffer bytes = buffer_.data();
+  const char* const end = static_cast<const char*>(bytes.data()) + bytes.size();
+  const char* const start = parser_->trailer();
+  field_lines lines(false);
+  const field_lines::state state =
+      lines.Check({start, static_cast<std::size_t>(end - start)});
+  if (state == field_lines::state::kComplete)
+    return true;
+  Break(std::string("trailer: ") + lines.error());
+  return false;
+}
+
 http_response answer_reader::Release() {
   message released = parser_->release();
   return http_response(std::move(released.base()), std::move(released.body()));
--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -13,6 +13,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "modules/http/answer_parser.h"
+#include "modules/http/field_lines.h"
 #include "modules/http/growing_body.h"
 #include "modules/http/http_types.h"
 
@@ -58,7 +60,9 @@
     return parser_ && parser_->is_done() && error_.empty();
   }
   // Whether a byte of the answer has arrived.
-  bool has_bytes() const { return parser_ && parser_->got_some(); }
+  bool has_bytes() const {
+    return parser_ && (parser_->got_some() || buffer_.size() > 0);
+  }
   // Whether bytes follow the answer.
   bool has_surplus() const { return buffer_.size() > 0; }
   // Whether only the end of the connection ends the answer.
@@ -80,9 +84,17 @@
 
  private:
   answer_state Break(std::string error);
+  // Checks the lines of the header section. Only when they are all there does
+  // the parser get them.
+  answer_state CheckHead();
+  // Checks the lines of the trailer section, which has just been parsed and is
+  // still in the buffer. Breaks the answer and returns false if one is
+  // malformed.
+  bool CheckTrailer();
 
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<detail::growing_body>> parser_;
+  std::optional<detail::answer_parser> parser_;
+  field_lines head_lines_{true};
   answer_limits limits_;
   std::size_t parsed_bytes_ = 0;
   std::string error_;
--- a/tests/modules/endpoint_link/early_answer_test.cc
+++ b/tests/modules/endpoint_link/early_answer_test.cc
@@ -203,4 +203,19 @@
   STRCMP_EQUAL("", Accepted(MakeInvalidStatuses(ProofOf("r1"))).c_str());
 }
 
+// Guards against malformed lines that reach the caller.
+TEST(early_answer, MalformedFieldsAreBroken) {
+  STRCMP_EQUAL("", Accepted(MakeMalformedFields(ProofOf("r1"))).c_str());
+}
+
+// Guards against trailer fields that prove a response, or refuse its request.
+TEST(early_answer, TrailerFieldsProveNothing) {
+  const std::string chunks =
+      "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+  next = {"HTTP/1.1 200 OK\r\n" + chunks + ProofOf("r1") + "\r\n", "", {}};
+  STRCMP_EQUAL("broken", ToString(ExchangeOn(false, 0).outcome));
+  next = {HeadOf("r1") + chunks + Names().not_run + ": 1\r\n\r\n", "", {}};
+  STRCMP_EQUAL("answered", ToString(ExchangeOn(false, 0).outcome));
+}
+
 }  // namespace papayakeel
--- a/tests/modules/http/answer_reader_test.cc
+++ b/tests/modules/http/answer_reader_test.cc
@@ -134,6 +134,50 @@
   STRCMP_EQUAL("", Accepted(MakeInvalidStatuses("X-Proof: s\r\n")).c_str());
 }
 
+// Guards against lines that are passed on, or that are read differently by
+// others, so that a body is not the server's.
+TEST(answer_reader, MalformedFieldsAreBroken) {
+  STRCMP_EQUAL("", Accepted(MakeMalformedFields("X-Proof: s\r\n")).c_str());
+}
+
+// Guards against rules that refuse valid lines.
+TEST(answer_reader, UnusualFieldsAreRead) {
+  const std::string lines =
+      "x!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blank: \t \r\n"
+      "X-Text:a\tb c\xe4\"(:;\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\n" + lines;
+  for (const std::string& bytes :
+       {head + "Content-Length: 2\r\n\r\nok",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0;x\r\n" + lines +
+            "\r\n"}) {
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+      answer_reader reader;
+      reader.Start({});
+      CHECK(Feed(reader, bytes, piece) == answer_state::kComplete);
+      STRCMP_EQUAL("ok", reader.answer().body().c_str());
+      STRCMP_EQUAL("a\tb c\xe4\"(:;",
+                   std::string(reader.answer()["X-Text"]).c_str());
+      LONGS_EQUAL(1, reader.answer().count("X-Text"));
+    }
+  }
+}
+
+// Guards against a trailer field that counts as a field of the header section,
+// such as a proof or an id that the header section lacks.
+TEST(answer_reader, TrailerFieldsAreNotHeaderFields) {
+  const std::string bytes =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\nX-Proof: s\r\nX-Id: 2\r\n\r\n";
+  for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+    answer_reader reader;
+    reader.Start({});
+    CHECK(Feed(reader, bytes, piece) == answer_state::kComplete);
+    LONGS_EQUAL(0, reader.answer().count("X-Proof"));
+    LONGS_EQUAL(1, reader.answer().count("X-Id"));
+    STRCMP_EQUAL("1", std::string(reader.answer()["X-Id"]).c_str());
+  }
+}
+
 // Guards against an end of stream that ends a body after a reset, whose report
 // a failed write has received, and against whole answers that are dropped then.
 TEST(answer_reader, EndsAfterAFailedWriteEndNoBody) {
--- a/tests/modules/http/http_fetch_test.cc
+++ b/tests/modules/http/http_fetch_test.cc
@@ -118,6 +118,16 @@
   STRCMP_EQUAL("", accepted.c_str());
 }
 
+TEST(http_fetch, MalformedFieldsAreBroken) {
+  std::string accepted;
+  for (const malformed_answer& each : MakeMalformedFields("X-A: a\r\n")) {
+    const fetch_result result = FetchFrom({each.bytes, "", {}});
+    if (result.has_value() || result.error() != fetch_error_code::kBroken)
+      accepted += each.name + "; ";
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
 // Guards against part of a response without a length that counts as whole
 // because the server reset the connection while the request was being written,
 // and against whole responses that are lost with it.
--- a/tests/modules/server_link/server_link_test.cc
+++ b/tests/modules/server_link/server_link_test.cc
@@ -149,6 +149,27 @@
   STRCMP_EQUAL("", accepted.c_str());
 }
 
+TEST(server_link, MalformedFieldsAreUnknown) {
+  std::string accepted;
+  for (const malformed_answer& each :
+       MakeMalformedFields("Papayakeel-Request-Id: 7\r\n")) {
+    if (Exchange({each.bytes, "", {}}).result != attempt_result::kUnknown)
+      accepted += each.name + "; ";
+  }
+  STRCMP_EQUAL("", accepted.c_str());
+}
+
+// Guards against an id in the trailer section that proves a response which
+// bears none.
+TEST(server_link, TrailerFieldsProveNothing) {
+  const exchange_result result =
+      Exchange({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nok\r\n0\r\nPapayakeel-Request-Id: 7\r\n\r\n",
+                "",
+                {}});
+  CHECK(result.result == attempt_result::kUnknown);
+}
+
 // Guards against part of a response that counts as whole because the server
 // reset the connection while the upload was being written, and against whole
 // responses that are lost with it.
--- a/tests/platform/process/early_answer_path_test.cc
+++ b/tests/platform/process/early_answer_path_test.cc
@@ -97,7 +97,10 @@
   std::thread thread;
 
   void setup() override {
-    malformed = MakeInvalidStatuses(FieldsOf("@"));
+    for (auto make : {&MakeInvalidStatuses, &MakeMalformedFields}) {
+      for (malformed_answer& each : make(FieldsOf("@")))
+        malformed.push_back(std::move(each));
+    }
     thread = std::thread([this] { context.run(); });
     site.SetBodyLimit(kUploadBytes);
     site.PutState(3, {"/look/"});
