--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -13,6 +13,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/system/error_code.hpp>
 
+#include "modules/http/answer_parser.h"
+#include "modules/http/field_lines.h"
 #include "modules/http/growing_body.h"
 #include "modules/http/http_types.h"
 
@@ -43,15 +45,24 @@
 
   // Returns where the next bytes from the server go.
   boost::asio::mutable_buffer Prepare();
+  // Call when a write on the connection has failed. The kernel reports a reset
+  // only once, and the write may have received the report: an end of stream
+  // then no longer shows that a body without a length is whole.
+  void OnWriteFailed() { has_write_failed_ = true; }
   // Takes the result of a read into the prepared buffer.
   answer_state Receive(const boost::system::error_code& error,
                        std::size_t size);
   // Parses the bytes that are there.
   answer_state Parse();
 
-  bool is_complete() const { return parser_ && parser_->is_done(); }
+  // A broken answer may have been parsed to its end.
+  bool is_complete() const {
+    return parser_ && parser_->is_done() && error_.empty();
+  }
   // Whether a byte of the answer has arrived.
-  bool has_bytes() const { return parser_ && parser_->got_some(); }
+  bool has_bytes() const {
+    return parser_ && (parser_->got_some() || buffer_.size() > 0);
+  }
   // Whether bytes follow the answer.
   bool has_surplus() const { return buffer_.size() > 0; }
   // Whether only the end of the connection ends the answer.
@@ -73,12 +84,21 @@
 
  private:
   answer_state Break(std::string error);
+  // Checks the lines of the header section. Only when they are all there does
+  // the parser get them.
+  answer_state CheckHead();
+  // Checks the lines of the trailer section, which has just been parsed and is
+  // still in the buffer. Breaks the answer and returns false if one is
+  // malformed.
+  bool CheckTrailer();
 
   boost::beast::flat_buffer buffer_;
-  std::optional<http::response_parser<detail::growing_body>> parser_;
+  std::optional<detail::answer_parser> parser_;
+  field_lines head_lines_{true};
   answer_limits limits_;
   std::size_t parsed_bytes_ = 0;
   std::string error_;
+  bool has_write_failed_ = false;  // Holds for all answers on the connection.
 };
 
 }  // namespace papayakeel
--- a/tests/modules/http/answer_reader_test.cc
+++ b/tests/modules/http/answer_reader_test.cc
@@ -1,4 +1,4 @@
-// Tests of answers that break off, at every byte.
+// Tests of answers that break off, at every byte, and of malformed ones.
 #include "modules/http/answer_reader.h"
 
 #include <algorithm>
@@ -10,6 +10,8 @@
 
 #include <boost/asio/error.hpp>
 
+#include "tests/modules/support/malformed_answers.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace papayakeel {
@@ -52,6 +54,24 @@
   return state;
 }
 
+// Names the answers that are not broken, in whatever pieces they arrive.
+std::string Accepted(const std::vector<malformed_answer>& answers) {
+  std::string accepted;
+  for (const malformed_answer& answer : answers) {
+    for (const std::size_t piece :
+         {std::size_t{1}, std::size_t{7}, answer.bytes.size()}) {
+      answer_reader reader;
+      reader.Start({});
+      const answer_state state = Feed(reader, answer.bytes, piece);
+      const bool is_broken = state == answer_state::kBroken &&
+                             !reader.is_complete() && !reader.error().empty();
+      if (!is_broken)
+        accepted += answer.name + " in " + std::to_string(piece) + "; ";
+    }
+  }
+  return accepted;
+}
+
 constexpr std::size_t kFramingBytes = 100 * 1024;
 constexpr int kMostMoves = 16;
 
@@ -108,6 +128,79 @@
   }
 }
 
+// Guards against an answer with a status that does not exist, or that switches
+// to another protocol, and against what follows it being read as the answer.
+TEST(answer_reader, InvalidStatusesAreBroken) {
+  STRCMP_EQUAL("", Accepted(MakeInvalidStatuses("X-Proof: s\r\n")).c_str());
+}
+
+// Guards against lines that are passed on, or that are read differently by
+// others, so that a body is not the server's.
+TEST(answer_reader, MalformedFieldsAreBroken) {
+  STRCMP_EQUAL("", Accepted(MakeMalformedFields("X-Proof: s\r\n")).c_str());
+}
+
+// Guards against rules that refuse valid lines.
+TEST(answer_reader, UnusualFieldsAreRead) {
+  const std::string lines =
+      "x!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blank: \t \r\n"
+      "X-Text:a\tb c\xe4\"(:;\r\n";
+  const std::string head = "HTTP/1.1 200 OK\r\n" + lines;
+  for (const std::string& bytes :
+       {head + "Content-Length: 2\r\n\r\nok",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0;x\r\n" + lines +
+            "\r\n"}) {
+    for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+      answer_reader reader;
+      reader.Start({});
+      CHECK(Feed(reader, bytes, piece) == answer_state::kComplete);
+      STRCMP_EQUAL("ok", reader.answer().body().c_str());
+      STRCMP_EQUAL("a\tb c\xe4\"(:;",
+                   std::string(reader.answer()["X-Text"]).c_str());
+      LONGS_EQUAL(1, reader.answer().count("X-Text"));
+    }
+  }
+}
+
+// Guards against a trailer field that counts as a field of the header section,
+// such as a proof or an id that the header section lacks.
+TEST(answer_reader, TrailerFieldsAreNotHeaderFields) {
+  const std::string bytes =
+      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nok\r\n0\r\nX-Proof: s\r\nX-Id: 2\r\n\r\n";
+  for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+    answer_reader reader;
+    reader.Start({});
+    CHECK(Feed(reader, bytes, piece) == answer_state::kComplete);
+    LONGS_EQUAL(0, reader.answer().count("X-Proof"));
+    LONGS_EQUAL(1, reader.answer().count("X-Id"));
+    STRCMP_EQUAL("1", std::string(reader.answer()["X-Id"]).c_str());
+  }
+}
+
+// Guards against an end of stream that ends a body after a reset, whose report
+// a failed write has received, and against whole answers that are dropped then.
+TEST(answer_reader, EndsAfterAFailedWriteEndNoBody) {
+  for (const whole_answer& answer : Answers()) {
+    for (const bool has_failed_before : {false, true}) {
+      answer_reader reader;
+      if (has_failed_before)
+        reader.OnWriteFailed();
+      reader.Start({});
+      const answer_state state = Feed(reader, answer.bytes, 7);
+      if (!answer.ends_with_connection) {
+        CHECK_TRUE_TEXT(state == answer_state::kComplete, answer.name);
+        continue;
+      }
+      CHECK(state == answer_state::kIncomplete);
+      reader.OnWriteFailed();
+      CHECK(reader.Receive(boost::asio::error::eof, 0) ==
+            answer_state::kBroken);
+      CHECK_FALSE(reader.is_complete());
+    }
+  }
+}
+
 // Guards against framing in single bytes that makes the reader copy all that it
 // holds with each of them.
 TEST(answer_reader, SingleBytesMoveTheBufferRarely) {
