--- a/main/daemon/entry_daemon.cc
+++ b/main/daemon/entry_daemon.cc
@@ -22,6 +22,7 @@
 #include "modules/state_feed/state_relay.h"
 #include "servers/bundles/bundle_service.h"
 #include "servers/discovery/endpoint_registry.h"
+#include "servers/discovery/evacuated_zones.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/routing/desired_state_store.h"
 
@@ -94,6 +95,7 @@
   registry_.Register(std::make_unique<entry_directory>(self));
   registry_.Register(std::make_unique<desired_state_store>());
   registry_.Register(std::make_unique<endpoint_registry>());
+  registry_.Register(std::make_unique<evacuated_zones>());
   registry_.Register(std::make_unique<endpoint_link>(
       registry_, platform_.callers, settings_.memory_limit_bytes));
   RegisterOperatorApiModule(registry_, process, [this] {
--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -126,8 +126,8 @@
         SetLowLatencyOptions(handle);
         self->watch_.Start(handle);
         if (!self->exchange_.may_send()) {
-          return self->Finish(attempt_outcome::kUnreachable,
-                              "endpoint is leaving");
+          return self->Finish(attempt_outcome::kNotSent,
+                              "endpoint is leaving or evacuated");
         }
         self->Write();
       });
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -15,6 +15,7 @@
 #include "modules/metrics/metric_sink.h"
 #include "modules/metrics/metrics_service.h"
 #include "modules/state_feed/state_feed.h"
+#include "servers/discovery/evacuated_zones.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/placement/caller_placement.h"
 #include "servers/routing/desired_state_store.h"
@@ -480,6 +481,10 @@
   sink.Gauge("papayakeel_store_revision",
              "Revision of the state that has been read", {},
              static_cast<double>(feed_->position().revision));
+  const evacuated_zones* zones =
+      registry_.Find<evacuated_zones>(evacuated_zones::kName);
+  sink.Gauge("papayakeel_evacuated_zones", "Zones that the operator evacuated",
+             {}, static_cast<double>(zones->zones().size()));
   sink.Counter("papayakeel_store_restores_total",
                "Restores of the store from an older copy", {},
                static_cast<double>(feed_->restores_total()));
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -158,6 +158,7 @@
          {"detail", result.detail}});
   }
   may_have_run_ |= !IsCertainlyNotRun(result.outcome);
+  sent_ -= result.outcome == attempt_outcome::kNotSent ? 1 : 0;
   services_.slots->Report(number_, attempt, result.outcome, result.load);
   // No retry for a disconnected caller.
   if (is_caller_disconnected_ && result.outcome != attempt_outcome::kAnswered)
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -11,6 +11,7 @@
 #include "drivers/logging.h"
 #include "modules/endpoint_link/endpoint_link.h"
 #include "servers/discovery/endpoint_registry.h"
+#include "servers/discovery/evacuated_zones.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/placement/duty_placement.h"
 #include "servers/routing/desired_state_store.h"
@@ -29,6 +30,11 @@
 // How long an owner that did not answer is excluded.
 constexpr time_span kOwnerExclusionTime = std::chrono::seconds(2);
 
+// Draws of an endpoint outside evacuated zones, which determines the shard of a
+// request. With three of four zones evacuated, one draw sequence in 10,000
+// finds none.
+constexpr int kMaxShardDraws = 32;
+
 constexpr time_span kTimerInterval = std::chrono::milliseconds(20);
 
 // Limits the rate of log lines about the state of shards. Incidents last longer
@@ -73,6 +79,7 @@
   loop_ = registry_.Find<event_loop>(event_loop::kName);
   directory_ = registry_.Find<entry_directory>(entry_directory::kName);
   endpoints_ = registry_.Find<endpoint_registry>(endpoint_registry::kName);
+  zones_ = registry_.Find<evacuated_zones>(evacuated_zones::kName);
   link_ = registry_.Find<endpoint_link>(endpoint_link::kName);
   state_store_ =
       registry_.Find<desired_state_store>(desired_state_store::kName);
@@ -81,6 +88,7 @@
   endpoints_->Subscribe([this](const std::string& service_name) {
     RefreshEndpoints(service_name);
   });
+  zones_->Subscribe([this] { RefreshZones(); });
   directory_->Subscribe([this] { ReassignRequests(); });
   link_->SetLeavingHook([this](const endpoint_exchange& exchange) {
     OnEndpointLeaving(exchange.endpoint_id, exchange.endpoint_started_unix_ms,
@@ -124,7 +132,10 @@
   if (shard.count > 1) {
     // Round robin over the endpoints selects each shard in proportion to its
     // number of endpoints.
-    shard.index = ShardOf(ids[next_number_ % ids.size()], shard.count);
+    std::size_t index = next_number_ % ids.size();
+    for (int draw = 0; draw < kMaxShardDraws && IsEvacuated(ids[index]); ++draw)
+      index = random_() % ids.size();
+    shard.index = ShardOf(ids[index], shard.count);
   }
   return shard;
 }
@@ -134,12 +145,22 @@
   std::vector<endpoint_entry> entries;
   for (const std::string& id : endpoints_->IdsOf(shard.service)) {
     const endpoint_entry* entry = endpoints_->Find(id);
-    if (entry != nullptr && ShardOf(id, shard.count) == shard.index)
-      entries.push_back(*entry);
+    if (entry == nullptr || ShardOf(id, shard.count) != shard.index)
+      continue;
+    entries.push_back(*entry);
+    // An evacuated endpoint counts as leaving instead of being left out. An
+    // attempt there that another owner granted can then be adopted, and is
+    // tried again elsewhere if it fails.
+    entries.back().is_leaving |= zones_->Contains(entry->availability_zone);
   }
   return entries;
 }
 
+bool slot_link::IsEvacuated(const std::string& endpoint_id) const {
+  const endpoint_entry* entry = endpoints_->Find(endpoint_id);
+  return entry != nullptr && zones_->Contains(entry->availability_zone);
+}
+
 network_address slot_link::OwnerOf(const service_shard& shard) const {
   const monotonic_time now = event_loop::Now();
   const std::vector<member> owners = SelectMembersForDuty(
@@ -246,6 +267,7 @@
   exchange.header = "GET " + path +
                     " HTTP/1.1\r\nHost: " + endpoint.address.ToString() +
                     "\r\n\r\n";
+  exchange.may_send = [this, endpoint] { return IsUsable(endpoint); };
   exchange.deadline = event_loop::Now() + kProbeTimeout;
   link_->Begin(std::move(exchange), [this, shard, id = endpoint.id](
                                         const endpoint_result& result) {
@@ -266,6 +288,16 @@
   }
 }
 
+void slot_link::RefreshZones() {
+  for (auto& [shard, owned] : owned_) {
+    const monotonic_time now = event_loop::Now();
+    owned.scheduler->SetEndpoints(EndpointsOf(shard), now);
+    if (!zones_->zones().empty())
+      owned.scheduler->RefuseWithoutEndpoint(now);
+    Reschedule(shard);
+  }
+}
+
 void slot_link::Reschedule(const service_shard& shard) {
   owned_shard& owned = owned_.at(shard);
   const std::optional<monotonic_time> due = owned.scheduler->NextDeadline();
@@ -375,7 +407,7 @@
     Log(log_level::kWarning, "grant_unusable",
         {{"request", held.request.caller_id}, {"endpoint", grant.endpoint.id}});
     return Report(grant.request.number, grant.attempt,
-                  attempt_outcome::kUnreachable, std::nullopt);
+                  attempt_outcome::kNotSent, std::nullopt);
   }
   ++held.request.earlier_attempts;
   const slot_client_hooks hooks = held.hooks;
@@ -385,6 +417,7 @@
 bool slot_link::IsUsable(const endpoint_entry& endpoint) const {
   const endpoint_entry* known = endpoints_->Find(endpoint.id);
   return known != nullptr && !known->is_leaving &&
+         !zones_->Contains(known->availability_zone) &&
          known->started_unix_ms == endpoint.started_unix_ms;
 }
 
@@ -615,6 +648,8 @@
   } else {
     scheduler.Submit(message.request, now);
   }
+  if (!zones_->zones().empty())
+    scheduler.RefuseWithoutEndpoint(now);
   if (message.type == slot_message_type::kSubmit && scheduler.IsKnown(key) &&
       scheduler.RunningGrants(key).empty()) {
     SendToHolder(MakeMessage(slot_message_type::kQueued, message.shard, key));
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -33,6 +33,7 @@
 
 class endpoint_link;
 class endpoint_registry;
+class evacuated_zones;
 class entry_directory;
 class event_loop;
 class desired_state_store;
@@ -96,7 +97,7 @@
   };
 
   // Returns the shard for the next request of this VM. Each shard is chosen in
-  // proportion to its number of endpoints.
+  // proportion to its number of endpoints outside evacuated zones.
   service_shard ChooseShard(const std::string& service_name);
   network_address OwnerOf(const service_shard& shard) const;
   // Returns the shard, creating its scheduler when this process did not own it.
@@ -109,6 +110,9 @@
                      const slot_rejection& rejection);
   void Reschedule(const service_shard& shard);
   void RefreshEndpoints(const std::string& service_name);
+  // Applies the set of evacuated zones to the shards owned here.
+  void RefreshZones();
+  bool IsEvacuated(const std::string& endpoint_id) const;
   void StartProbe(const service_shard& shard, const endpoint_entry& endpoint);
 
   void Submit(held_request& held);
@@ -152,6 +156,7 @@
   event_loop* loop_ = nullptr;
   entry_directory* directory_ = nullptr;
   endpoint_registry* endpoints_ = nullptr;
+  evacuated_zones* zones_ = nullptr;
   endpoint_link* link_ = nullptr;
   desired_state_store* state_store_ = nullptr;
   std::optional<boost::asio::ip::udp::socket> socket_;
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -18,7 +18,7 @@
 constexpr int kFormatVersion = 2;
 constexpr int kLastType = static_cast<int>(slot_message_type::kCancel);
 constexpr int kLastReason = static_cast<int>(slot_refusal::kAttemptsFailed);
-constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kCancelled);
+constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kNotSent);
 
 std::int64_t Microseconds(time_span span) {
   return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -8,6 +8,7 @@
 #include "drivers/logging.h"
 #include "modules/state_feed/state_relay.h"
 #include "servers/discovery/endpoint_registry.h"
+#include "servers/discovery/evacuated_zones.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/placement/duty_placement.h"
 #include "servers/routing/desired_state_store.h"
@@ -109,10 +110,12 @@
   state_store_ =
       registry_.Find<desired_state_store>(desired_state_store::kName);
   endpoints_ = registry_.Find<endpoint_registry>(endpoint_registry::kName);
+  zones_ = registry_.Find<evacuated_zones>(evacuated_zones::kName);
   directory_ = registry_.Find<entry_directory>(entry_directory::kName);
   relay_ = registry_.Find<state_relay>(state_relay::kName);
   timer_.emplace(loop_->context());
   removal_timer_.emplace(loop_->context());
+  evacuation_timer_.emplace(loop_->context());
   started_at_ = event_loop::Now();
   directory_->Subscribe([this] { members_changed_at_ = event_loop::Now(); });
   List("");
@@ -122,6 +125,7 @@
   is_stopped_ = true;
   timer_.reset();
   removal_timer_.reset();
+  evacuation_timer_.reset();
 }
 
 void state_feed::Schedule(time_span wait, std::function<void()> next) {
@@ -185,6 +189,7 @@
   if (after_key.empty()) {
     listing_position_.reset();
     listed_ids_.clear();
+    listed_zones_.clear();
     listed_changes_.clear();
     is_listing_unconfirmed_ = false;
     // All pages come from one source: another may have read less.
@@ -241,6 +246,14 @@
 }
 
 void state_feed::ApplyListed(const std::vector<store_change>& changes) {
+  // Evacuations first: no endpoint of the zone may be used in between. On pages
+  // they also come first, because the store sorts by key.
+  for (const store_change& change : changes) {
+    if (const auto* listed = std::get_if<zone_evacuation>(&change.value)) {
+      listed_zones_.insert(listed->zone);
+      Apply(change);
+    }
+  }
   for (const store_change& change : changes) {
     if (const auto* entry = std::get_if<endpoint_entry>(&change.value)) {
       if (IsKnownDeparture(*entry)) {
@@ -251,6 +264,8 @@
       }
       listed_ids_.insert(entry->id);
     }
+    if (std::holds_alternative<zone_evacuation>(change.value))
+      continue;
     Apply(change);
   }
 }
@@ -271,6 +286,7 @@
       RemoveEndpoint(id, false);
   }
   position_ = *listing_position_;
+  RetainListedEvacuations();
   relay_->SetListing(listed_changes_, position_);
   relay_->SetFresh(is_reader_);
   listed_changes_.clear();
@@ -380,6 +396,7 @@
        {"previous_era", std::to_string(position_.era)},
        {"previous_revision", std::to_string(position_.revision)}});
   ++restores_total_;
+  evacuation_grace_end_ = event_loop::Now() + kRestoreGracePeriod;
   restore_grace_end_ = event_loop::Now() + kRestoreGracePeriod;
   if (last_away_at_) {
     restore_grace_end_ =
@@ -566,9 +583,53 @@
     }
     return;
   }
+  if (const auto* evacuation = std::get_if<zone_evacuation>(&change.value))
+    return ApplyEvacuation(change, *evacuation);
   if (!change.endpoint_id.empty())
-    RemoveEndpoint(change.endpoint_id,
-                   event_loop::Now() < reappearance_deadline_);
+    return RemoveEndpoint(change.endpoint_id,
+                          event_loop::Now() < reappearance_deadline_);
+  RevokeEvacuation(change);
+}
+
+void state_feed::ApplyEvacuation(const store_change& change,
+                                 const zone_evacuation& evacuation) {
+  evacuation_keys_[change.key] = evacuation.zone;
+  if (!zones_->Add(evacuation.zone))
+    return;
+  Log(log_level::kWarning, "zone_evacuated",
+      {{"zone", evacuation.zone},
+       {"revision", std::to_string(change.revision)}});
+}
+
+void state_feed::RevokeEvacuation(const store_change& change) {
+  const auto known = evacuation_keys_.find(change.key);
+  if (known == evacuation_keys_.end())
+    return;
+  const std::string zone = known->second;
+  evacuation_keys_.erase(known);
+  if (!zones_->Remove(zone))
+    return;
+  Log(log_level::kInfo, "zone_restored",
+      {{"zone", zone}, {"revision", std::to_string(change.revision)}});
+}
+
+void state_feed::RetainListedEvacuations() {
+  const bool may_return = event_loop::Now() < evacuation_grace_end_;
+  LogRestoredZones(zones_->RetainOnly(listed_zones_, may_return));
+  if (!zones_->HasMissing())
+    return;
+  evacuation_timer_->expires_at(evacuation_grace_end_);
+  evacuation_timer_->async_wait([this](const boost::system::error_code& error) {
+    if (!error && !is_stopped_)
+      LogRestoredZones(zones_->RemoveMissing());
+  });
+}
+
+void state_feed::LogRestoredZones(const std::vector<std::string>& zones) const {
+  for (const std::string& zone : zones) {
+    Log(log_level::kInfo, "zone_restored",
+        {{"zone", zone}, {"revision", std::to_string(position_.revision)}});
+  }
 }
 
 bool state_feed::IsMissingShareSmall(const std::string& id) const {
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -29,6 +29,7 @@
 namespace papayakeel {
 
 class endpoint_registry;
+class evacuated_zones;
 class entry_directory;
 class event_loop;
 class desired_state_store;
@@ -112,6 +113,14 @@
   // Calls `next` after `wait` unless the service is stopped first.
   void Schedule(time_span wait, std::function<void()> next);
   void Apply(const store_change& change);
+  void ApplyEvacuation(const store_change& change,
+                       const zone_evacuation& evacuation);
+  // Handles the removal of a key that may be that of an evacuation.
+  void RevokeEvacuation(const store_change& change);
+  // Revokes the evacuations that a complete listing lacks, within the grace
+  // period after a restore only at its end.
+  void RetainListedEvacuations();
+  void LogRestoredZones(const std::vector<std::string>& zones) const;
   // Removes an endpoint immediately, or, with `may_return`, at
   // `restore_grace_end_` or `reappearance_deadline_` unless its entry has
   // reappeared by then.
@@ -141,10 +150,12 @@
   event_loop* loop_ = nullptr;
   desired_state_store* state_store_ = nullptr;
   endpoint_registry* endpoints_ = nullptr;
+  evacuated_zones* zones_ = nullptr;
   entry_directory* directory_ = nullptr;
   state_relay* relay_ = nullptr;
   std::optional<boost::asio::steady_timer> timer_;
   std::optional<boost::asio::steady_timer> removal_timer_;
+  std::optional<boost::asio::steady_timer> evacuation_timer_;
 
   store_position position_;  // Last position that has been read.
   bool has_listing_ = false;
@@ -153,6 +164,7 @@
   bool has_joined_ = false;
   std::optional<store_position> listing_position_;  // Of the first page.
   std::set<std::string> listed_ids_;
+  std::set<std::string> listed_zones_;  // Evacuated.
   // An interrupted watch may have missed changes that the store has since
   // dropped from its history, and so may the watch that follows at once. A
   // listing after each of the two recovers such changes; true while the second
@@ -189,6 +201,13 @@
   // Until this time after a restore, every missing entry may reappear, however
   // few there are. Not after `reappearance_deadline_`.
   monotonic_time restore_grace_end_;
+  // Until this time after a restore, evacuations that the store lacks stay in
+  // force. Unlike `restore_grace_end_` not limited by the time that the store
+  // was away: to send nothing for longer is the safe choice.
+  monotonic_time evacuation_grace_end_;
+  // Evacuated zones by the key of the store that requests the evacuation. A
+  // removal names only the key.
+  std::map<std::string, std::string> evacuation_keys_;
   // The last reports of endpoints that were removed recently. The copy that a
   // store is restored from may still list them.
   std::map<std::string, departed_endpoint> departed_;  // By id.
--- a/modules/state_feed/store_contract.h
+++ b/modules/state_feed/store_contract.h
@@ -36,6 +36,10 @@
   std::string reason;
 };
 struct removed_entry {};
+// The operator's request that nothing be sent to the endpoints of a zone.
+struct zone_evacuation {
+  std::string zone;
+};
 
 struct store_change {
   std::string key;
@@ -45,7 +49,8 @@
   std::variant<removed_entry,
                malformed_entry,
                endpoint_entry,
-               desired_state_pointer>
+               desired_state_pointer,
+               zone_evacuation>
       value;
   // The change as the store encoded it, for relays.
   std::string original;
--- a/servers/scheduling/attempt_outcome.cc
+++ b/servers/scheduling/attempt_outcome.cc
@@ -19,6 +19,8 @@
       return "broken";
     case attempt_outcome::kCancelled:
       return "cancelled";
+    case attempt_outcome::kNotSent:
+      return "not_sent";
   }
   return "unknown";
 }
@@ -26,6 +28,7 @@
 bool IsCertainlyNotRun(attempt_outcome outcome) {
   return outcome == attempt_outcome::kRejected ||
          outcome == attempt_outcome::kUnreachable ||
+         outcome == attempt_outcome::kNotSent ||
          outcome == attempt_outcome::kMisdirected;
 }
 
--- a/servers/scheduling/attempt_outcome.h
+++ b/servers/scheduling/attempt_outcome.h
@@ -14,6 +14,7 @@
   kMisdirected,  // The address belongs to another endpoint; not run.
   kBroken,       // Connection or response broke off; may have run.
   kCancelled,    // Cancelled by this process; may have run.
+  kNotSent,      // Withheld: the holder knows that it must not be sent there.
 };
 
 // Returns the name of `outcome` that logs, metrics and messages use.
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -150,6 +150,13 @@
   if (run.started < load_requested_at_)
     ++ended_since_load_;
   running_.erase(found);
+  if (outcome == attempt_outcome::kNotSent) {
+    // Says nothing about the endpoint. The holder has read of an evacuation or
+    // a leaving that this owner reads shortly; until then each grant there
+    // would come back.
+    ejected_until_ = std::max(ejected_until_, now + kInitialBackoff);
+    return ended;
+  }
   const bool is_failure = outcome != attempt_outcome::kAnswered &&
                           outcome != attempt_outcome::kCancelled;
   if (outcome != attempt_outcome::kCancelled) {
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -250,12 +250,15 @@
     return Cancel(key, now);
   }
   record.may_have_run |= !IsCertainlyNotRun(outcome);
+  if (outcome == attempt_outcome::kNotSent)
+    --record.attempts;
   const bool may_try_again = record.request.may_repeat || !record.may_have_run;
   if (!record.running.empty() || (record.is_waiting && may_try_again)) {
     PlaceWaitingRequests(now);
     return;
   }
-  const bool was_sent = outcome != attempt_outcome::kUnreachable;
+  const bool was_sent = outcome != attempt_outcome::kUnreachable &&
+                        outcome != attempt_outcome::kNotSent;
   const bool is_allowed = may_try_again &&
                           record.attempts < record.request.max_attempts &&
                           (!was_sent || repeats_.CanRepeat(now));
@@ -265,7 +268,8 @@
     PlaceWaitingRequests(now);
     return;
   }
-  ReserveRepeat(record, now);
+  if (record.attempts > 0)
+    ReserveRepeat(record, now);
   Dequeue(record);
   Enqueue(record, false, now);
   PlaceWaitingRequests(now);
@@ -642,6 +646,23 @@
   }
 }
 
+void slot_scheduler::RefuseWithoutEndpoint(monotonic_time now) {
+  if (waiting_.empty() || HasUsableEndpoint())
+    return;
+  std::vector<request_key> keys;
+  for (const auto& [position, record] : waiting_)
+    keys.push_back(position.key);
+  for (const request_key& key : keys) {
+    request_record& record = requests_.at(key);
+    if (record.running.empty()) {
+      Reject(key, slot_refusal::kNoEndpoint,
+             RetryAfter(record.request, kNoEndpointRetryAfter, now));
+    } else {
+      Dequeue(record);
+    }
+  }
+}
+
 time_span slot_scheduler::ExpectedWait(const queue_key& position,
                                        monotonic_time now) const {
   int ahead = 0;
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -64,6 +64,10 @@
   // Removes a request and ends its running attempts as cancelled.
   void Cancel(const request_key& key, monotonic_time now);
 
+  // Rejects the waiting requests when no endpoint is usable. Only for endpoints
+  // that are withheld for an unknown time; others may be replaced shortly.
+  void RefuseWithoutEndpoint(monotonic_time now);
+
   // Reports the answer to a probe; nullopt means that the probe failed.
   void ReportProbe(const std::string& endpoint_id,
                    const std::optional<endpoint_load>& load,
--- a/tests/modules/state_feed/feed_process.cc
+++ b/tests/modules/state_feed/feed_process.cc
@@ -9,6 +9,7 @@
 #include "modules/state_feed/state_relay.h"
 #include "platform/platform_contracts.h"
 #include "servers/discovery/endpoint_registry.h"
+#include "servers/discovery/evacuated_zones.h"
 #include "servers/membership/entry_directory.h"
 #include "servers/routing/desired_state_store.h"
 
@@ -40,6 +41,7 @@
   registry_.Register(std::make_unique<entry_directory>(self));
   registry_.Register(std::make_unique<desired_state_store>());
   registry_.Register(std::make_unique<endpoint_registry>());
+  registry_.Register(std::make_unique<evacuated_zones>());
   registry_.Register(std::make_unique<state_relay>(
       registry_, settings, platform::MakeStoreContract()));
   registry_.Register(std::make_unique<state_feed>(
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -140,6 +140,40 @@
   CHECK(contract.read_list(200, "{}").error() == store_error_code::kMalformed);
 }
 
+// Guards against an evacuation that is missed because of its value, and against
+// keys that name no zone.
+TEST(platform, Evacuations) {
+  const store_contract contract = MakeStoreContract();
+  const store_page_result page = contract.read_list(
+      200, R"({"items":[{"key":"op/evacuate/","value":"e30=","revision":1},)"
+           R"({"key":"op/evacuate/b/1","value":"e30=","revision":2},)"
+           R"({"key":"op/evacuate/c","value":"%%","revision":3},)"
+           R"({"key":"op/evacuate/d","revision":4},)"
+           R"({"key":"op/evacuated","value":"e30=","revision":5}],"as_of":5})");
+  CHECK(page.has_value());
+  LONGS_EQUAL(3, page->changes.size());
+  std::string zones;
+  for (const store_change& change : page->changes) {
+    zones += std::get<zone_evacuation>(change.value).zone + " ";
+    CHECK(change.endpoint_id.empty());
+    // A follower reads the same from a relay.
+    const store_page_result relayed = contract.read_list(
+        200, contract.write_answer(store_request{}, {change.original}, 5));
+    LONGS_EQUAL(1, relayed->changes.size());
+    STRCMP_EQUAL(
+        std::get<zone_evacuation>(change.value).zone.c_str(),
+        std::get<zone_evacuation>(relayed->changes[0].value).zone.c_str());
+    LONGS_EQUAL(change.revision, relayed->changes[0].revision);
+  }
+  STRCMP_EQUAL("b/1 c d ", zones.c_str());
+  const store_page_result removal = contract.read_watch(
+      200, R"({"events":[{"key":"op/evacuate/c","revision":6,"removed":true}],)"
+           R"("as_of":6})");
+  LONGS_EQUAL(1, removal->changes.size());
+  STRCMP_EQUAL("op/evacuate/c", removal->changes[0].key.c_str());
+  CHECK(std::holds_alternative<removed_entry>(removal->changes[0].value));
+}
+
 // Guards against a relay whose answers its followers cannot read.
 TEST(platform, RelayedAnswersReadLikeTheStores) {
   const store_contract contract = MakeStoreContract();
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -175,12 +175,14 @@
   Put("op/config", newest_state_);
 }
 
-std::size_t platform_stand_in::AddEndpoint(time_span work) {
+std::size_t platform_stand_in::AddEndpoint(time_span work,
+                                           const std::string& zone) {
   const std::size_t index = endpoints_.size();
   Run([&] {
     endpoints_.push_back(std::make_unique<stand_in_endpoint>());
     stand_in_endpoint& added = *endpoints_.back();
     added.id = "i-" + std::to_string(index);
+    added.zone = zone;
     added.work = work;
     added.listener = Listen([this, index](const http_exchange& exchange) {
       HandleEndpoint(index, exchange);
@@ -203,15 +205,17 @@
   stand_in_endpoint& known = *endpoints_.at(endpoint);
   known.is_leaving = is_leaving;
   known.is_registered = true;
-  const json entry = {
-      {"address", known.published_address.ToString()},
-      {"born", 1000},
-      {"info",
-       {{"service", kService}, {"version", "v1"}, {"zone", "z"}, {"slots", 2}}},
-      {"status",
-       {{"state", is_leaving ? "draining" : "ready"},
-        {"seq", ++known.registrations},
-        {"warmup_left", "0ms"}}}};
+  const json entry = {{"address", known.published_address.ToString()},
+                      {"born", 1000},
+                      {"info",
+                       {{"service", kService},
+                        {"version", "v1"},
+                        {"zone", known.zone},
+                        {"slots", 2}}},
+                      {"status",
+                       {{"state", is_leaving ? "draining" : "ready"},
+                        {"seq", ++known.registrations},
+                        {"warmup_left", "0ms"}}}};
   known.entry = entry.dump();
   Put("servers/" + known.id, known.entry);
 }
@@ -247,8 +251,10 @@
   response.set("Papayakeel-Instance-Id", endpoint.id);
   if (endpoint.announces_leaving)
     response.set("Server-Leaving", "1");
-  if (request.target() == "/health")
+  if (request.target() == "/health") {
+    endpoint.status_check_times.push_back(std::chrono::steady_clock::now());
     return exchange.respond(std::move(response));
+  }
   const std::string expected(request["Papayakeel-Expect-Instance"]);
   if (!expected.empty() && expected != endpoint.id) {
     response.result(http::status::misdirected_request);
@@ -316,6 +322,13 @@
   return times;
 }
 
+std::vector<monotonic_time> platform_stand_in::StatusCheckTimesOn(
+    std::size_t endpoint) {
+  std::vector<monotonic_time> times;
+  Run([&] { times = endpoints_.at(endpoint)->status_check_times; });
+  return times;
+}
+
 network_address platform_stand_in::StoreAddress() const {
   return store_->address();
 }
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -55,7 +55,7 @@
   void PutState(int version, const std::vector<std::string>& lookups);
 
   // Starts an endpoint that takes `work` for each request and registers it.
-  std::size_t AddEndpoint(time_span work);
+  std::size_t AddEndpoint(time_span work, const std::string& zone = "z");
   // From now on it takes this long for each request.
   void SetWork(std::size_t endpoint, time_span work);
   // From now on its answers have at least this many bytes.
@@ -82,6 +82,8 @@
   std::optional<monotonic_time> LastArrivalOn(std::size_t endpoint);
   // When requests reached this endpoint, oldest first.
   std::vector<monotonic_time> ArrivalTimesOn(std::size_t endpoint);
+  // When status checks reached this endpoint, oldest first.
+  std::vector<monotonic_time> StatusCheckTimesOn(std::size_t endpoint);
 
   // Starts an entry VM at an address of its own. Its log goes to a file, or to
   // `log_path` when that is given.
@@ -108,6 +110,7 @@
  private:
   struct stand_in_endpoint {
     std::string id;
+    std::string zone;
     time_span work{0};
     std::size_t answer_bytes = 0;
     bool is_rejecting = false;
@@ -117,6 +120,7 @@
     bool is_registered = true;
     int runs = 0;
     std::vector<monotonic_time> arrival_times;
+    std::vector<monotonic_time> status_check_times;
     std::string entry;  // As it was last written.
     network_address published_address;
     std::unique_ptr<http_listener> listener;
--- a/tests/platform/store_items.cc
+++ b/tests/platform/store_items.cc
@@ -37,6 +37,10 @@
       .dump();
 }
 
+std::string EvacuationKey(const std::string& zone) {
+  return "op/evacuate/" + zone;
+}
+
 std::string DesiredStateKey() {
   return "op/config";
 }
--- a/tests/platform/store_items.h
+++ b/tests/platform/store_items.h
@@ -26,6 +26,9 @@
 std::string MakeEndpointKey(int index);
 std::string MakeEndpointValue(const endpoint_report& report);
 
+// Key of the evacuation of a zone.
+std::string EvacuationKey(const std::string& zone);
+
 // Key and value of a desired state that sends each of `prefixes` of the host
 // "a.example" to the service "s".
 std::string DesiredStateKey();
--- a/tests/servers/scheduling/slot_scheduler_test.cc
+++ b/tests/servers/scheduling/slot_scheduler_test.cc
@@ -147,6 +147,64 @@
   CHECK(run.grants.size() - first.size() <= 0.2 * requests + 5);
 }
 
+// Guards against waiting requests that stay with a zone that is evacuated, or
+// that stay waiting when there is no endpoint left.
+TEST(slot_scheduler, WaitingRequestsMoveAwayFromWithheldEndpoints) {
+  scheduler_harness run;
+  run.SetEndpoints(2);
+  for (std::uint64_t number = 1; number <= 8; ++number)
+    run.scheduler().Submit(run.MakeRequest(number, true), run.now);
+  run.RunFor(milliseconds(100));
+  LONGS_EQUAL(4, run.grants.size());
+  run.SetEndpoints(2, 1);
+  run.scheduler().RefuseWithoutEndpoint(run.now);
+  LONGS_EQUAL(0, run.rejections.size());
+  // Running attempts end; what waits goes to the other endpoint alone.
+  const std::vector<slot_grant> first = run.grants;
+  for (const slot_grant& grant : first) {
+    run.scheduler().Report(grant.request, grant.attempt,
+                           attempt_outcome::kAnswered, std::nullopt, run.now);
+  }
+  run.RunFor(milliseconds(100));
+  LONGS_EQUAL(6, run.grants.size());
+  for (std::size_t index = 4; index < run.grants.size(); ++index)
+    STRCMP_EQUAL("i-1", run.grants[index].endpoint.id.c_str());
+  run.SetEndpoints(2, 2);
+  run.scheduler().RefuseWithoutEndpoint(run.now);
+  LONGS_EQUAL(2, run.rejections.size());
+  for (const slot_rejection& each : run.rejections) {
+    CHECK(each.reason == slot_refusal::kNoEndpoint);
+    CHECK(each.retry_after > time_span(0));
+  }
+  // Attempts that still run are answered or refused, not forgotten.
+  run.scheduler().Report(run.grants[4].request, run.grants[4].attempt,
+                         attempt_outcome::kBroken, std::nullopt, run.now);
+  run.scheduler().RefuseWithoutEndpoint(run.now);
+  LONGS_EQUAL(3, run.rejections.size());
+}
+
+// Guards against a request that is refused, and an endpoint that is ejected for
+// seconds, because holders returned grants for an evacuated zone.
+TEST(slot_scheduler, ReturnedGrantsAreNoAttempts) {
+  scheduler_harness run;
+  run.SetEndpoints(6);
+  run.scheduler().Submit(run.MakeRequest(1, false), run.now);
+  const std::size_t bounces = 4;  // The route allows two attempts.
+  for (std::size_t number = 0; number < bounces; ++number) {
+    run.RunFor(milliseconds(60));
+    LONGS_EQUAL(number + 1, run.grants.size());
+    const slot_grant grant = run.grants.back();
+    run.scheduler().Report(grant.request, grant.attempt,
+                           attempt_outcome::kNotSent, std::nullopt, run.now);
+  }
+  run.RunFor(milliseconds(100));
+  LONGS_EQUAL(bounces + 1, run.grants.size());
+  LONGS_EQUAL(0, run.rejections.size());
+  LONGS_EQUAL(0, run.scheduler().counters().retries);
+  run.RunFor(milliseconds(200));
+  LONGS_EQUAL(0, run.scheduler().Summarize(run.now).ejected_endpoints);
+}
+
 // Guards against more attempts than the route allows.
 TEST(slot_scheduler, RespectsMaxAttempts) {
   scheduler_harness run;
