--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -61,6 +61,21 @@
   return seconds;
 }
 
+// Longer cold periods overflow times.
+constexpr std::uint64_t kMaxWarmUpMs = 3'600'000;
+
+std::optional<time_span> ReadWarmUp(std::string_view text) {
+  std::uint64_t number = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool is_valid = parsed.ec == std::errc() &&
+                        parsed.ptr == text.data() + text.size() &&
+                        number <= kMaxWarmUpMs;
+  if (!is_valid)
+    return std::nullopt;
+  return std::chrono::milliseconds(number);
+}
+
 }  // namespace
 
 endpoint_connection::endpoint_connection(boost::asio::io_context& context,
@@ -338,6 +353,9 @@
     const auto load = answer.find(contract_.headers.endpoint_load);
     if (load != answer.end())
       result.load = contract_.read_load(ToStringView(load->value()));
+    const auto warm_up = answer.find(contract_.headers.endpoint_warm_up);
+    if (result.load && warm_up != answer.end())
+      result.load->warm_up_left = ReadWarmUp(ToStringView(warm_up->value()));
     UpdateIdleDeadline(answer);
     result.response = reader_.Release();
     result.memory = std::move(share_);
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -508,6 +508,9 @@
                static_cast<double>(slots.probes));
   sink.Counter("papayakeel_slot_rejections_total", "Requests rejected as owner",
                {}, static_cast<double>(slots.rejections));
+  sink.Counter("papayakeel_warm_up_deferrals_total",
+               "Free slots of cold endpoints withheld by their limit", {},
+               static_cast<double>(slots.warm_up_deferrals));
   sink.Counter("papayakeel_endpoints_announced_leaving_total",
                "Endpoints that announced their leaving in an answer", {},
                static_cast<double>(services_.slots->announced_leavings()));
--- a/modules/entry_gateway/header_names.h
+++ b/modules/entry_gateway/header_names.h
@@ -15,6 +15,7 @@
   std::string endpoint_id;        // Id of the responding endpoint.
   std::string endpoint_load;      // The endpoint's load report.
   std::string endpoint_leaving;   // The endpoint is about to leave.
+  std::string endpoint_warm_up;   // Whole ms for which it stays cold.
   std::string not_run;            // The endpoint did not run the request.
 };
 
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -261,6 +261,7 @@
   RemoveHopByHopHeaders(response);
   response.erase(services_.headers->endpoint_load);
   response.erase(services_.headers->endpoint_leaving);
+  response.erase(services_.headers->endpoint_warm_up);
   response.erase(services_.headers->not_run);
   response.erase(services_.headers->endpoint_id);
   if (response.find(services_.headers->request_id) == response.end())
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -88,6 +88,12 @@
   endpoints_->Subscribe([this](const std::string& service_name) {
     RefreshEndpoints(service_name);
   });
+  state_store_->Subscribe([this] {
+    for (auto& [shard, owned] : owned_) {
+      owned.scheduler->SetWarmUpRate(WarmUpRateOf(shard.service),
+                                     event_loop::Now());
+    }
+  });
   zones_->Subscribe([this] { RefreshZones(); });
   directory_->Subscribe([this] { ReassignRequests(); });
   link_->SetLeavingHook([this](const endpoint_exchange& exchange) {
@@ -156,6 +162,16 @@
   return entries;
 }
 
+double slot_link::WarmUpRateOf(const std::string& service_name) const {
+  const std::shared_ptr<const route_table> routes = state_store_->routes();
+  if (!routes)
+    return 0;
+  const auto profile = routes->state().services.find(service_name);
+  return profile == routes->state().services.end()
+             ? 0
+             : profile->second.warm_up_rate;
+}
+
 bool slot_link::IsEvacuated(const std::string& endpoint_id) const {
   const endpoint_entry* entry = endpoints_->Find(endpoint_id);
   return entry != nullptr && zones_->Contains(entry->availability_zone);
@@ -186,6 +202,8 @@
   owned.scheduler =
       std::make_unique<slot_scheduler>(settings, MakeHooks(shard), random_);
   owned.timer = std::make_unique<boost::asio::steady_timer>(loop_->context());
+  owned.scheduler->SetWarmUpRate(WarmUpRateOf(shard.service),
+                                 event_loop::Now());
   owned.scheduler->SetEndpoints(EndpointsOf(shard), event_loop::Now());
   Log(log_level::kInfo, "shard_owned", {{"shard", shard.Name()}});
   return owned;
@@ -704,6 +722,7 @@
     sum.retries += each.retries;
     sum.probes += each.probes;
     sum.rejections += each.rejections;
+    sum.warm_up_deferrals += each.warm_up_deferrals;
   }
   return sum;
 }
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -113,6 +113,8 @@
   // Applies the set of evacuated zones to the shards owned here.
   void RefreshZones();
   bool IsEvacuated(const std::string& endpoint_id) const;
+  // What a cold endpoint of the service can handle, by the desired state.
+  double WarmUpRateOf(const std::string& service_name) const;
   void StartProbe(const service_shard& shard, const endpoint_entry& endpoint);
 
   void Submit(held_request& held);
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -569,7 +569,10 @@
     const endpoint_entry* known = endpoints_->Find(entry->id);
     const bool was_leaving = known != nullptr && known->is_leaving;
     const bool is_new = known == nullptr;
-    endpoints_->Put(*entry);
+    endpoint_entry read = *entry;
+    if (read.warm_up_left > time_span(0))
+      read.warm_up_ends_at = event_loop::Now() + read.warm_up_left;
+    endpoints_->Put(read);
     const bool is_leaving = endpoints_->Find(entry->id)->is_leaving;
     // The first listing of a large fleet has too many for a line each.
     const bool is_news = is_new ? has_listing_ : was_leaving != is_leaving;
--- a/servers/discovery/endpoint_entry.h
+++ b/servers/discovery/endpoint_entry.h
@@ -20,7 +20,10 @@
   bool is_leaving = false;
   std::uint64_t sequence = 0;         // Report number; restarts at 0.
   std::uint64_t started_unix_ms = 0;  // Distinguishes starts with one id.
-  time_span warm_up_left{0};          // Remaining slow period after a start.
+  time_span warm_up_left{0};          // When the report was written.
+  // The endpoint is cold until then; zero when it is not. Set when the report
+  // is first read, because a report is read again with each listing.
+  monotonic_time warm_up_ends_at;
 
   // Whether `other` is a later report, or of a later start, of this id.
   bool IsOlderThan(const endpoint_entry& other) const {
--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -12,6 +12,14 @@
 // Announcements of endpoints that are no longer listed, at most.
 constexpr std::size_t kMaxUnlistedAnnouncements = 1024;
 
+// Reports of one cold period state its end with this much variation, because
+// they take different times to arrive.
+constexpr time_span kWarmUpVariation = std::chrono::milliseconds(200);
+
+bool IsAbout(monotonic_time left, monotonic_time right) {
+  return std::max(left, right) - std::min(left, right) <= kWarmUpVariation;
+}
+
 }  // namespace
 
 bool endpoint_registry::Put(const endpoint_entry& entry) {
@@ -27,11 +35,15 @@
   endpoint_entry& known = found->second;
   if (entry.IsOlderThan(known))
     return false;
+  // A report that is read again does not begin the cold period anew.
+  if (!known.IsOlderThan(entry))
+    stored.warm_up_ends_at = known.warm_up_ends_at;
   const std::string previous_service = known.service;
   const bool is_same =
       known.started_unix_ms == stored.started_unix_ms &&
       known.service == stored.service && known.address == stored.address &&
-      known.slots == stored.slots && known.is_leaving == stored.is_leaving;
+      known.slots == stored.slots && known.is_leaving == stored.is_leaving &&
+      IsAbout(known.warm_up_ends_at, stored.warm_up_ends_at);
   if (previous_service != entry.service) {
     RemoveFromService(known);
     AddToService(entry);
--- a/servers/routing/desired_state.h
+++ b/servers/routing/desired_state.h
@@ -53,6 +53,8 @@
   // Maximum number of connections that an endpoint accepts from all entry VMs
   // together.
   int connection_limit = 0;
+  // Requests per second that a cold endpoint can handle; 0: no limit.
+  double warm_up_rate = 0;
 };
 
 struct desired_state {
--- a/servers/scheduling/attempt_outcome.h
+++ b/servers/scheduling/attempt_outcome.h
@@ -4,6 +4,8 @@
 
 #include <optional>
 
+#include "core/monotonic_time.h"
+
 namespace papayakeel {
 
 enum class attempt_outcome {
@@ -31,6 +33,8 @@
   // Current processing time relative to the usual time; 1 if the endpoint does
   // not report it.
   double slowdown = 1;
+  // How long the endpoint stays cold; not set if it does not say.
+  std::optional<time_span> warm_up_left = std::nullopt;
 };
 
 }  // namespace papayakeel
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -74,20 +74,25 @@
                                double probes_per_second,
                                monotonic_time now)
     : entry_(std::move(entry)),
-      warm_up_ends_at_(now + entry_.warm_up_left),
       probe_budget_(probes_per_second, kProbeBurst, std::chrono::seconds(1)),
       added_at_(now) {
   probe_budget_.Accrue(now);
+  warm_up_.SetEnd(entry_.warm_up_ends_at, now);
 }
 
 void endpoint_slots::Update(const endpoint_entry& entry, monotonic_time now) {
   const bool is_new_start = entry.started_unix_ms != entry_.started_unix_ms ||
                             entry.address != entry_.address;
+  if (is_new_start)
+    warm_up_.SetEnd(monotonic_time(), now);
+  // A status check may have reported a later end since the entry was written.
+  if (is_new_start || entry.warm_up_ends_at != entry_.warm_up_ends_at)
+    warm_up_.SetEnd(entry.warm_up_ends_at, now);
   entry_ = entry;
   is_listed_ = true;
-  warm_up_ends_at_ = now + entry.warm_up_left;
   if (!is_new_start)
     return;
+  needs_check_ = false;
   consecutive_failures_ = 0;
   failure_rate_ = 0;
   observed_slowdown_ = 1;
@@ -107,6 +112,20 @@
 }
 
 int endpoint_slots::FreeSlots(monotonic_time now) const {
+  if (needs_check_ && !(may_try_unchecked_ && running_.empty()))
+    return 0;
+  return warm_up_.Allowed(SlotsLeft(now), now);
+}
+
+bool endpoint_slots::CountDeferral(monotonic_time now) {
+  const int left = SlotsLeft(now);
+  if (is_deferral_counted_ || left == 0 || warm_up_.Allowed(left, now) > 0)
+    return false;
+  is_deferral_counted_ = true;
+  return true;
+}
+
+int endpoint_slots::SlotsLeft(monotonic_time now) const {
   // A failing endpoint gets one attempt at a time until an attempt succeeds.
   const int slots =
       consecutive_failures_ >= kFailuresToEject ? 1 : entry_.slots;
@@ -118,6 +137,9 @@
                            double contention_factor,
                            monotonic_time now) {
   const endpoint_forecast forecast = Forecast(now);
+  warm_up_.Take(now);
+  may_try_unchecked_ = false;
+  is_deferral_counted_ = false;
   running_attempt started;
   started.started = now;
   started.has_last_slot = forecast.is_nearly_full;
@@ -188,6 +210,10 @@
     ejected_until_ = std::max(ejected_until_, now + kFullEndpointBackoff);
     return;
   }
+  if (warm_up_.has_rate() && outcome != attempt_outcome::kServerError) {
+    needs_check_ = true;
+    may_try_unchecked_ = false;
+  }
   ++consecutive_failures_;
   const bool is_endpoint_unreachable =
       outcome == attempt_outcome::kUnreachable ||
@@ -216,8 +242,11 @@
   const monotonic_time requested_at = *probe_sent_at_;
   probe_sent_at_.reset();
   has_ended_probe_ = true;
-  if (!load)
+  if (!load) {
+    may_try_unchecked_ = true;
     return;
+  }
+  needs_check_ = false;
   RecordLoad(*load, now);
   load_requested_at_ = requested_at;
   is_load_from_probe_ = true;
@@ -234,6 +263,11 @@
 void endpoint_slots::RecordLoad(const endpoint_load& load, monotonic_time now) {
   load_ = load;
   load_received_at_ = now;
+  if (load.warm_up_left) {
+    warm_up_.SetEnd(*load.warm_up_left > time_span(0) ? now + *load.warm_up_left
+                                                      : monotonic_time(),
+                    now);
+  }
   if (load.slowdown <= kSlowReportThreshold) {
     slow_since_.reset();
   } else if (!slow_since_) {
@@ -273,7 +307,7 @@
   forecast.is_in_slow_phase = slow_since_ && now - *slow_since_ < kMaxSlowPhase;
   forecast.multiplier =
       StragglerSlowdown(now) * (1 + kFailureCostFactor * failure_rate_);
-  if (now < warm_up_ends_at_)
+  if (warm_up_.IsCold(now))
     forecast.multiplier *= kColdStartFactor;
   forecast.is_nearly_full = IsNearlyFull(now);
   forecast.has_fresh_report = ReportAge(now) <= kMaxFreshReportAge;
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -11,6 +11,7 @@
 #include "core/token_bucket.h"
 #include "servers/discovery/endpoint_entry.h"
 #include "servers/scheduling/attempt_outcome.h"
+#include "servers/scheduling/warm_up_limit.h"
 
 namespace papayakeel {
 
@@ -91,10 +92,22 @@
   // Whether the next attempt would take the last of several slots.
   bool IsNearlyFull(monotonic_time now) const;
 
+  // Sets what the endpoint can handle while it is cold, in requests per second;
+  // 0: no limit.
+  void SetWarmUpRate(double rate, monotonic_time now) {
+    warm_up_.SetRate(rate, now);
+  }
+  bool IsCold(monotonic_time now) const { return warm_up_.IsCold(now); }
+  bool NeedsCheck() const { return needs_check_; }
+  // Whether the limit on a cold endpoint withholds a free slot for the first
+  // time since the last attempt started.
+  bool CountDeferral(monotonic_time now);
+
   // Expected performance of an attempt that starts now.
   endpoint_forecast Forecast(monotonic_time now) const;
 
  private:
+  int SlotsLeft(monotonic_time now) const;
   struct running_attempt {
     monotonic_time started;
     time_span expected{1};  // By reports and contention.
@@ -108,7 +121,13 @@
 
   endpoint_entry entry_;
   bool is_listed_ = true;
-  monotonic_time warm_up_ends_at_;
+  warm_up_limit warm_up_;
+  // The endpoint did not respond and may have become cold since. It gets no
+  // request until it has answered a status check, or one at a time while checks
+  // fail. Only with a limit on cold endpoints.
+  bool needs_check_ = false;
+  bool may_try_unchecked_ = false;
+  bool is_deferral_counted_ = false;  // Since the last attempt.
   std::map<std::uint64_t, running_attempt> running_;
 
   std::optional<endpoint_load> load_;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -150,7 +150,8 @@
     if (found != endpoints_.end()) {
       found->second.Update(entry, now);
     } else {
-      endpoints_.try_emplace(entry.id, entry, settings_.probes_per_second, now);
+      endpoints_.try_emplace(entry.id, entry, settings_.probes_per_second, now)
+          .first->second.SetWarmUpRate(warm_up_rate_, now);
     }
   }
   for (auto each = endpoints_.begin(); each != endpoints_.end();) {
@@ -163,6 +164,12 @@
   PlaceWaitingRequests(now);
 }
 
+void slot_scheduler::SetWarmUpRate(double rate, monotonic_time now) {
+  warm_up_rate_ = rate;
+  for (auto& [id, endpoint] : endpoints_)
+    endpoint.SetWarmUpRate(rate, now);
+}
+
 void slot_scheduler::Submit(const slot_request& request, monotonic_time now) {
   const auto [entry, is_new] = requests_.try_emplace(request.key);
   if (!is_new)
@@ -373,9 +380,14 @@
     monotonic_time now) {
   std::vector<candidate> free;
   for (auto& [id, endpoint] : endpoints_) {
-    const bool is_free = endpoint.IsUsable() && !endpoint.IsEjected(now) &&
-                         endpoint.FreeSlots(now) > 0;
-    if (is_free)
+    if (!endpoint.IsUsable() || endpoint.IsEjected(now))
+      continue;
+    if (endpoint.NeedsCheck() && endpoint.TryProbe(now)) {
+      ++counters_.probes;
+      hooks_.probe(endpoint.entry());
+    }
+    counters_.warm_up_deferrals += endpoint.CountDeferral(now) ? 1 : 0;
+    if (endpoint.FreeSlots(now) > 0)
       free.push_back({&endpoint, endpoint.Forecast(now)});
   }
   return free;
@@ -816,6 +828,7 @@
                          {"in_flight", endpoint.in_flight()},
                          {"free_slots", endpoint.FreeSlots(now)},
                          {"usable", endpoint.IsUsable()},
+                         {"cold", endpoint.IsCold(now)},
                          {"ejected", endpoint.IsEjected(now)}});
   }
   return {{"waiting", waiting_.size()},
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -32,6 +32,9 @@
   std::uint64_t retries = 0;
   std::uint64_t probes = 0;
   std::uint64_t rejections = 0;
+  // Free slots of cold endpoints withheld by their limit, counted once between
+  // two attempts at an endpoint.
+  std::uint64_t warm_up_deferrals = 0;
 };
 
 class slot_scheduler {
@@ -64,6 +67,9 @@
   // Removes a request and ends its running attempts as cancelled.
   void Cancel(const request_key& key, monotonic_time now);
 
+  // Sets what a cold endpoint can handle, in requests per second; 0: no limit.
+  void SetWarmUpRate(double rate, monotonic_time now);
+
   // Rejects the waiting requests when no endpoint is usable. Only for endpoints
   // that are withheld for an unknown time; others may be replaced shortly.
   void RefuseWithoutEndpoint(monotonic_time now);
@@ -226,6 +232,7 @@
   std::uint64_t next_attempt_;
   std::optional<monotonic_time> wake_at_;
   monotonic_time last_sweep_;
+  double warm_up_rate_ = 0;
   slot_counters counters_;
 };
 
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -174,6 +174,27 @@
   CHECK(std::holds_alternative<removed_entry>(removal->changes[0].value));
 }
 
+// Guards against a limit on cold endpoints that is misread, or set where the
+// operator set none.
+TEST(platform, WarmUpRates) {
+  const auto rate = [](const std::string& member) {
+    std::string text = kState;
+    const std::string name = R"("name":"s1",)";
+    text.replace(text.find(name), name.size(), name + member);
+    const tl::expected<desired_state, malformed_entry> state =
+        DecodeDesiredState(text);
+    return state ? state->services.at("s1").warm_up_rate : -1;
+  };
+  DOUBLES_EQUAL(0, rate(""), 0);
+  DOUBLES_EQUAL(0, rate(R"("warmup":"3s",)"), 0);
+  DOUBLES_EQUAL(0, rate(R"("warmup":"3s","warmup_per_s":0,)"), 0);
+  DOUBLES_EQUAL(3.7, rate(R"("warmup":"3s","warmup_per_s":3.7,)"), 0.0001);
+  DOUBLES_EQUAL(-1, rate(R"("warmup_per_s":-2,)"), 0);
+  DOUBLES_EQUAL(-1, rate(R"("warmup_per_s":"2",)"), 0);
+  STRCMP_EQUAL("Papayakeel-Warmup-Ms",
+               MakeCallerContract().headers.endpoint_warm_up.c_str());
+}
+
 // Guards against a relay whose answers its followers cannot read.
 TEST(platform, RelayedAnswersReadLikeTheStores) {
   const store_contract contract = MakeStoreContract();
--- a/tests/servers/discovery/endpoint_registry_test.cc
+++ b/tests/servers/discovery/endpoint_registry_test.cc
@@ -102,4 +102,39 @@
   CHECK(kept < 2000);
 }
 
+// Guards against owners that do not learn that an endpoint has become cold, and
+// against a cold period that begins anew with each listing or refresh.
+TEST(endpoint_registry, ColdPeriodsAreNotifiedAndEnd) {
+  const monotonic_time now{std::chrono::seconds(100)};
+  endpoint_registry registry;
+  int notifications = 0;
+  registry.Subscribe([&](const std::string&) { ++notifications; });
+  endpoint_entry entry = MakeEntry("i-1", 1, 1);
+  CHECK(registry.Put(entry));
+  LONGS_EQUAL(1, notifications);
+  // Cold again.
+  entry.sequence = 2;
+  entry.warm_up_ends_at = now + std::chrono::seconds(3);
+  registry.Put(entry);
+  LONGS_EQUAL(2, notifications);
+  // The same report, listed again a second later.
+  entry.warm_up_ends_at += std::chrono::seconds(1);
+  registry.Put(entry);
+  LONGS_EQUAL(2, notifications);
+  CHECK(registry.Find("i-1")->warm_up_ends_at == now + std::chrono::seconds(3));
+  // A refresh within the period, delayed by a few ms.
+  entry.sequence = 3;
+  entry.warm_up_ends_at = now + std::chrono::milliseconds(3050);
+  registry.Put(entry);
+  LONGS_EQUAL(2, notifications);
+  // Warm, and cold again.
+  entry.sequence = 4;
+  entry.warm_up_ends_at = {};
+  registry.Put(entry);
+  entry.sequence = 5;
+  entry.warm_up_ends_at = now + std::chrono::seconds(9);
+  registry.Put(entry);
+  LONGS_EQUAL(4, notifications);
+}
+
 }  // namespace papayakeel
