--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -37,6 +37,13 @@
   return response;
 }
 
+// Whole milliseconds from now until an endpoint is warm.
+std::int64_t WarmUpMs(monotonic_time cold_until) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      cold_until - std::chrono::steady_clock::now());
+  return std::max<std::int64_t>(left.count(), 0);
+}
+
 json MakeRoute(const std::string& name,
                const std::string& prefix,
                const std::string& kind) {
@@ -170,11 +177,24 @@
       {"listeners", json::array({{{"host", "a.example"}, {"policy", policy}}})},
       {"clusters", json::array({{{"name", kService},
                                  {"health_path", "/health"},
+                                 {"warmup", "3s"},
+                                 {"warmup_per_s", warm_up_rate_},
                                  {"max_conns", 100}}})}};
   newest_state_ = state.dump();
   Put("op/config", newest_state_);
 }
 
+void platform_stand_in::MakeCold(std::size_t endpoint,
+                                 time_span length,
+                                 bool is_reported) {
+  Run([&] {
+    endpoints_.at(endpoint)->cold_until =
+        std::chrono::steady_clock::now() + length;
+    endpoints_.at(endpoint)->reports_warm_up = is_reported;
+  });
+  Register(endpoint, false);
+}
+
 std::size_t platform_stand_in::AddEndpoint(time_span work,
                                            const std::string& zone) {
   const std::size_t index = endpoints_.size();
@@ -205,17 +225,21 @@
   stand_in_endpoint& known = *endpoints_.at(endpoint);
   known.is_leaving = is_leaving;
   known.is_registered = true;
-  const json entry = {{"address", known.published_address.ToString()},
-                      {"born", 1000},
-                      {"info",
-                       {{"service", kService},
-                        {"version", "v1"},
-                        {"zone", known.zone},
-                        {"slots", 2}}},
-                      {"status",
-                       {{"state", is_leaving ? "draining" : "ready"},
-                        {"seq", ++known.registrations},
-                        {"warmup_left", "0ms"}}}};
+  const json entry = {
+      {"address", known.published_address.ToString()},
+      {"born", 1000},
+      {"info",
+       {{"service", kService},
+        {"version", "v1"},
+        {"zone", known.zone},
+        {"slots", 2}}},
+      {"status",
+       {{"state", is_leaving ? "draining" : "ready"},
+        {"seq", ++known.registrations},
+        {"warmup_left",
+         std::to_string(known.reports_warm_up ? WarmUpMs(known.cold_until)
+                                              : 0) +
+             "ms"}}}};
   known.entry = entry.dump();
   Put("servers/" + known.id, known.entry);
 }
@@ -252,6 +276,8 @@
   if (endpoint.announces_leaving)
     response.set("Server-Leaving", "1");
   if (request.target() == "/health") {
+    response.set("Papayakeel-Warmup-Ms",
+                 std::to_string(WarmUpMs(endpoint.cold_until)));
     endpoint.status_check_times.push_back(std::chrono::steady_clock::now());
     return exchange.respond(std::move(response));
   }
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -54,6 +54,13 @@
   // the idempotent prefixes `lookups`.
   void PutState(int version, const std::vector<std::string>& lookups);
 
+  // What a cold endpoint can handle by the desired states that are put later,
+  // in requests per second.
+  void SetWarmUpRate(double rate) { warm_up_rate_ = rate; }
+  // Makes the endpoint cold for `length`. Its status checks say so, and its
+  // entry when `is_reported`.
+  void MakeCold(std::size_t endpoint, time_span length, bool is_reported);
+
   // Starts an endpoint that takes `work` for each request and registers it.
   std::size_t AddEndpoint(time_span work, const std::string& zone = "z");
   // From now on it takes this long for each request.
@@ -116,6 +123,8 @@
     bool is_rejecting = false;
     bool announces_leaving = false;
     int registrations = 0;
+    monotonic_time cold_until;
+    bool reports_warm_up = true;  // In its entry.
     bool is_leaving = false;
     bool is_registered = true;
     int runs = 0;
@@ -146,6 +155,7 @@
       work_guard_;
   std::unique_ptr<store_stand_in> store_;
   std::string newest_state_;  // As the operator wrote it.
+  double warm_up_rate_ = 0;
   network_address published_store_address_;
   int memory_megabytes_ = 260;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
