--- a/tests/platform/process/zone_evacuation_test.cc
+++ b/tests/platform/process/zone_evacuation_test.cc
@@ -172,6 +172,11 @@
   LONGS_EQUAL(0, ArrivalsIn(0, first + kBound, revoked));
   LONGS_EQUAL(0, ArrivalsIn(1, second + kBound, revoked));
   LONGS_EQUAL(0, ArrivalsIn(2, third + kBound, revoked));
+  // Callers press, so that the work needs every endpoint.
+  for (int count = 0; count < 2; ++count) {
+    StartCallers(other);
+    StartCallers(joined);
+  }
   for (const std::string& zone : kZones)
     site.Remove("op/evacuate/" + zone);
   CHECK(WaitUntil([&] {
