Teach the fault soak evacuations and cold zones

In half of the plans zones are evacuated and taken back, with endpoints that have become cold shortly before. Two checks: no request for an evacuated zone after the bound, and no more requests for a cold endpoint than it bears. The other faults of a seed stay as they were. An endpoint is not held back for a status check when the budget allows none.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -74,6 +74,7 @@
                                double probes_per_second,
                                monotonic_time now)
     : entry_(std::move(entry)),
+      may_check_(probes_per_second > 0),
       probe_budget_(probes_per_second, kProbeBurst, std::chrono::seconds(1)),
       added_at_(now) {
   probe_budget_.Accrue(now);
@@ -210,7 +211,8 @@
     ejected_until_ = std::max(ejected_until_, now + kFullEndpointBackoff);
     return;
   }
-  if (warm_up_.has_rate() && outcome != attempt_outcome::kServerError) {
+  if (warm_up_.has_rate() && may_check_ &&
+      outcome != attempt_outcome::kServerError) {
     needs_check_ = true;
     may_try_unchecked_ = false;
   }
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -124,9 +124,10 @@
   warm_up_limit warm_up_;
   // The endpoint did not respond and may have become cold since. It gets no
   // request until it has answered a status check, or one at a time while checks
-  // fail. Only with a limit on cold endpoints.
+  // fail. Only with a limit on cold endpoints and a budget for checks.
   bool needs_check_ = false;
   bool may_try_unchecked_ = false;
+  bool may_check_ = true;
   bool is_deferral_counted_ = false;  // Since the last attempt.
   std::map<std::uint64_t, running_attempt> running_;
 
--- a/tests/platform/process/cold_zone_test.cc
+++ b/tests/platform/process/cold_zone_test.cc
@@ -111,7 +111,7 @@
 // were cold, also when the owner changes meanwhile, and against a limit that
 // stays when they are warm.
 TEST(platform_cold_zone, ReturnsUnderLoad) {
-  site.Put("op/evacuate/b", "{}");
+  site.Evacuate("b");
   StartCallers();
   std::this_thread::sleep_for(seconds(3));
   for (std::size_t each = kWarmEndpoints;
@@ -120,7 +120,7 @@
   }
   const monotonic_time cold_at = std::chrono::steady_clock::now();
   std::this_thread::sleep_for(seconds(1));
-  site.Remove("op/evacuate/b");
+  site.RevokeEvacuation("b");
   std::this_thread::sleep_for(milliseconds(1500));
   site.entry_vm(Owner()).Kill();
   std::this_thread::sleep_until(cold_at + kColdTime + seconds(2));
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -29,6 +29,8 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr char kService[] = "booking";
+const std::string kEvacuationPrefix = "op/evacuate/";
+const std::string kEvacuationValue = "{}";
 
 http_response MakeAnswer(http::status status, const std::string& body) {
   http_response response(status, kHttp11);
@@ -139,6 +141,16 @@
   std::vector<std::function<void()>> writes;
   if (!newest_state_.empty() && !has("op/config", newest_state_))
     writes.emplace_back([this] { Put("op/config", newest_state_); });
+  for (const auto& [name, is_in_force] : evacuations_) {
+    if (has(kEvacuationPrefix + name, is_in_force ? kEvacuationValue : ""))
+      continue;
+    writes.emplace_back([this, zone = name] {
+      if (evacuations_.at(zone))
+        Evacuate(zone);
+      else
+        RevokeEvacuation(zone);
+    });
+  }
   for (std::size_t index = 0; index < endpoints_.size(); ++index) {
     const stand_in_endpoint& known = *endpoints_[index];
     if (has("servers/" + known.id, known.entry))
@@ -184,6 +196,16 @@
   Put("op/config", newest_state_);
 }
 
+void platform_stand_in::Evacuate(const std::string& zone) {
+  evacuations_[zone] = true;
+  Put(kEvacuationPrefix + zone, kEvacuationValue);
+}
+
+void platform_stand_in::RevokeEvacuation(const std::string& zone) {
+  evacuations_[zone] = false;
+  Remove(kEvacuationPrefix + zone);
+}
+
 void platform_stand_in::MakeCold(std::size_t endpoint,
                                  time_span length,
                                  bool is_reported) {
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -41,8 +41,9 @@
   // Brings an older copy of the store back. What was written since is missing
   // until WriteAgain().
   void RestoreStore(const store_copy& copy);
-  // Writes the newest desired state and the entries of all endpoints again, and
-  // removes those of endpoints that have left, in an order drawn from `seed`.
+  // Writes the newest desired state, the evacuations and the entries of all
+  // endpoints again, and removes those that have ended, in an order drawn from
+  // `seed`.
   void WriteAgain(std::uint64_t seed);
   // The writes of WriteAgain(), one by one; with `copy` only those that it
   // lacks. Each writes what is newest when it is called.
@@ -54,6 +55,10 @@
   // the idempotent prefixes `lookups`.
   void PutState(int version, const std::vector<std::string>& lookups);
 
+  // Evacuates a zone, or revokes that.
+  void Evacuate(const std::string& zone);
+  void RevokeEvacuation(const std::string& zone);
+
   // What a cold endpoint can handle by the desired states that are put later,
   // in requests per second.
   void SetWarmUpRate(double rate) { warm_up_rate_ = rate; }
@@ -156,6 +161,8 @@
   std::unique_ptr<store_stand_in> store_;
   std::string newest_state_;  // As the operator wrote it.
   double warm_up_rate_ = 0;
+  // Zones that have been evacuated, and whether they still are.
+  std::map<std::string, bool> evacuations_;
   network_address published_store_address_;
   int memory_megabytes_ = 260;
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
--- a/tests/platform/process/zone_evacuation_test.cc
+++ b/tests/platform/process/zone_evacuation_test.cc
@@ -94,7 +94,7 @@
   }
 
   monotonic_time Evacuate(std::size_t zone) {
-    site.Put("op/evacuate/" + kZones[zone], "{}");
+    site.Evacuate(kZones[zone]);
     return Now();
   }
 
@@ -178,7 +178,7 @@
     StartCallers(joined);
   }
   for (const std::string& zone : kZones)
-    site.Remove("op/evacuate/" + zone);
+    site.RevokeEvacuation(zone);
   CHECK(WaitUntil([&] {
     return ArrivalsIn(0, revoked, Now()) > 0 &&
            ArrivalsIn(1, revoked, Now()) > 0 &&
--- a/tests/platform/soak/fault_plan.cc
+++ b/tests/platform/soak/fault_plan.cc
@@ -32,6 +32,12 @@
 constexpr int kMostSignals = 6;
 constexpr int kMostSignalGapMs = 300;
 
+constexpr int kMostEvacuations = 3;
+constexpr int kLeastEvacuationMs = 3000;
+constexpr int kMostEvacuationMs = 11000;
+constexpr int kLeastColdMs = 3000;
+constexpr int kMostColdMs = 8000;
+
 class plan_maker {
  public:
   plan_maker(std::uint64_t seed, const soak_size& size)
@@ -50,6 +56,8 @@
   void AddChange(time_span at);
   // In some plans the fleet stops as a whole.
   void AddFleetStop();
+  // In half of the plans zones are evacuated or become cold.
+  void AddZones();
   // Signals, restarts and desired states in quick succession.
   void AddSignals();
 
@@ -126,6 +134,25 @@
       MakeFault(soak_fault::kStopAll, milliseconds(Draw(0, length_ms))));
 }
 
+void plan_maker::AddZones() {
+  if (Draw(0, 1) == 0)
+    return;
+  const int length_ms = static_cast<int>(ToMilliseconds(size_.length));
+  const int evacuations = Draw(1, kMostEvacuations);
+  for (int index = 0; index < evacuations; ++index) {
+    planned_fault fault =
+        MakeFault(soak_fault::kZoneEvacuated, milliseconds(Draw(0, length_ms)));
+    fault.lasts = milliseconds(Draw(kLeastEvacuationMs, kMostEvacuationMs));
+    plan_.push_back(fault);
+    // Endpoints may have become cold when they are taken back.
+    fault = MakeFault(soak_fault::kZoneCold,
+                      fault.at + fault.lasts - milliseconds(Draw(0, 3000)));
+    fault.target = plan_.back().target;
+    fault.lasts = milliseconds(Draw(kLeastColdMs, kMostColdMs));
+    plan_.push_back(fault);
+  }
+}
+
 std::vector<planned_fault> plan_maker::Make() {
   // A quarter each without restores and with little else.
   const int choice = Draw(0, 3);
@@ -136,6 +163,8 @@
   if (choice != 1 || Draw(0, 1) == 0)
     AddSignals();
   AddFleetStop();
+  // Drawn last: the other faults of a seed stay as they were.
+  AddZones();
   std::stable_sort(plan_.begin(), plan_.end(),
                    [](const planned_fault& left, const planned_fault& right) {
                      return left.at < right.at;
@@ -185,6 +214,10 @@
       return "endpoints_report";
     case soak_fault::kStopAll:
       return "stop_all";
+    case soak_fault::kZoneEvacuated:
+      return "zone_evacuated";
+    case soak_fault::kZoneCold:
+      return "zone_cold";
   }
   return "unknown";
 }
--- a/tests/platform/soak/fault_plan.h
+++ b/tests/platform/soak/fault_plan.h
@@ -31,6 +31,8 @@
   kEndpointJoins,
   kEndpointsReport,  // Each writes its entry again, some of them often.
   kStopAll,  // SIGTERM for a group of VMs after the other, then new starts.
+  kZoneEvacuated,
+  kZoneCold,  // Its endpoints become cold.
 };
 
 const char* ToString(soak_fault fault);
@@ -50,6 +52,9 @@
   time_span length = std::chrono::seconds(20);
 };
 
+// Endpoints are spread over this many zones.
+constexpr std::size_t kSoakZones = 3;
+
 // kStopAll tells this many VMs to stop at a time, with this pause between.
 constexpr std::size_t kStopGroup = 6;
 constexpr time_span kStopGroupGap = std::chrono::milliseconds(1300);
--- a/tests/platform/soak/fault_soak.cc
+++ b/tests/platform/soak/fault_soak.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "tests/platform/soak/soak_caller.h"
+#include "tests/platform/soak/soak_checks.h"
 
 namespace papayakeel::platform {
 
@@ -45,6 +46,10 @@
 constexpr int kMostWriteMs = 1900;
 constexpr int kMostReports = 12;
 
+std::string ZoneName(std::size_t zone) {
+  return "z" + std::to_string(zone);
+}
+
 monotonic_time Now() {
   return std::chrono::steady_clock::now();
 }
@@ -70,6 +75,7 @@
                                              site_.StoreAddress());
   site_.SetPublishedStoreAddress(store_relay_->local_address());
   newest_state_ = 1;
+  site_.SetWarmUpRate(kSoakWarmUpRate);
   site_.PutState(1, lookups_);
   for (std::size_t index = 0; index < size_.endpoints; ++index)
     AddEndpoint();
@@ -81,7 +87,8 @@
 }
 
 void fault_soak::AddEndpoint() {
-  const std::size_t index = site_.AddEndpoint(kWork);
+  const std::size_t index =
+      site_.AddEndpoint(kWork, ZoneName(endpoint_relays_.size() % kSoakZones));
   endpoint_relays_.push_back(std::make_unique<tcp_relay>(
       network_address{"127.0.0.1", 0}, site_.AddressOf(index)));
   site_.SetPublishedAddress(index, endpoint_relays_.back()->local_address());
@@ -268,6 +275,10 @@
       return AddEndpoint();
     case soak_fault::kEndpointsReport:
       return ReportOften(planned.seed);
+    case soak_fault::kZoneEvacuated:
+      return EvacuateAndReturn(planned);
+    case soak_fault::kZoneCold:
+      return MakeZoneCold(planned);
     default:
       return BeginEndpointFault(planned);
   }
@@ -352,6 +363,58 @@
   });
 }
 
+std::vector<std::vector<monotonic_time>> fault_soak::ArrivalsIn(
+    std::size_t zone) {
+  std::vector<std::vector<monotonic_time>> arrivals;
+  for (std::size_t each = zone; each < is_leaving_.size(); each += kSoakZones)
+    arrivals.push_back(site_.ArrivalTimesOn(each));
+  return arrivals;
+}
+
+void fault_soak::EvacuateAndReturn(const planned_fault& planned) {
+  const std::size_t zone = planned.target % kSoakZones;
+  if (evacuated_.count(zone) > 0 || evacuated_.size() + 1 == kSoakZones)
+    return;
+  evacuated_.insert(zone);
+  site_.Evacuate(ZoneName(zone));
+  const std::size_t number = record_.evacuations.size();
+  record_.evacuations.push_back({Now(), {}, {}});
+  EndLater(planned, [this, zone, number] {
+    record_.evacuations.at(number).ended_at = Now();
+    record_.evacuations.at(number).arrivals = ArrivalsIn(zone);
+    evacuated_.erase(zone);
+    site_.RevokeEvacuation(ZoneName(zone));
+    for (std::size_t each = zone; each < serving_since_.size();
+         each += kSoakZones) {
+      serving_since_.at(each) = Now();
+    }
+  });
+}
+
+void fault_soak::MakeZoneCold(const planned_fault& planned) {
+  const std::size_t zone = planned.target % kSoakZones;
+  if (!cold_.insert(zone).second)
+    return;
+  const std::size_t number = record_.cold_zones.size();
+  record_.cold_zones.push_back({Now(), Now() + planned.lasts, {}});
+  std::vector<std::size_t> endpoints;
+  for (std::size_t each = zone; each < is_leaving_.size(); each += kSoakZones) {
+    if (is_leaving_.at(each))
+      continue;
+    endpoints.push_back(each);
+    site_.MakeCold(each, planned.lasts, true);
+  }
+  EndLater(planned, [this, zone, number, endpoints] {
+    cold_.erase(zone);
+    for (const std::size_t each : endpoints) {
+      record_.cold_zones.at(number).arrivals.push_back(
+          site_.ArrivalTimesOn(each));
+      // It may be needed only from now on.
+      serving_since_.at(each) = Now();
+    }
+  });
+}
+
 void fault_soak::PutNewState() {
   const int version = newest_state_ + 1 + static_cast<int>(seed_ % 3);
   lookups_.push_back("/v" + std::to_string(version) + "/");
--- a/tests/platform/soak/fault_soak.h
+++ b/tests/platform/soak/fault_soak.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,11 @@
   void Restart(std::size_t vm);
   void LeaveAndReturn(std::size_t endpoint, time_span lasts);
   void AddEndpoint();
+  // Evacuates the zone, unless it would be the last, and takes it back.
+  void EvacuateAndReturn(const planned_fault& planned);
+  void MakeZoneCold(const planned_fault& planned);
+  // When requests reached each endpoint of the zone.
+  std::vector<std::vector<monotonic_time>> ArrivalsIn(std::size_t zone);
   void ReportOften(std::uint64_t seed);
   void KeepCopy();
   void BeginRestore(const planned_fault& planned);
@@ -73,6 +79,8 @@
   std::vector<std::unique_ptr<tcp_relay>> endpoint_relays_;
   std::vector<std::unique_ptr<std::atomic<int>>> boots_;  // By VM.
   std::vector<bool> is_leaving_;                          // By endpoint.
+  std::set<std::size_t> cold_;                            // Zones.
+  std::set<std::size_t> evacuated_;                       // Zones.
   std::vector<monotonic_time> serving_since_;             // By endpoint.
   struct kept_copy {
     monotonic_time taken_at;
--- a/tests/platform/soak/soak_checks.cc
+++ b/tests/platform/soak/soak_checks.cc
@@ -17,6 +17,7 @@
 constexpr time_span kStable = milliseconds(3000);
 constexpr time_span kStateInForce = milliseconds(2000);
 constexpr time_span kDrain = milliseconds(2000);
+constexpr time_span kEvacuation = milliseconds(5000);
 // An endpoint that serves gets requests in such a calm time when the callers
 // press.
 constexpr time_span kServingWindow = milliseconds(4000);
@@ -32,7 +33,9 @@
   const bool is_planned = fault.kind == soak_fault::kNewState ||
                           fault.kind == soak_fault::kEndpointLeaves ||
                           fault.kind == soak_fault::kEndpointJoins ||
-                          fault.kind == soak_fault::kEndpointsReport;
+                          fault.kind == soak_fault::kEndpointsReport ||
+                          fault.kind == soak_fault::kZoneEvacuated ||
+                          fault.kind == soak_fault::kZoneCold;
   return !is_planned && (!vm || !fault.vm || *fault.vm == *vm);
 }
 
@@ -193,6 +196,51 @@
   }
 }
 
+void CheckEvacuations(const soak_record& record,
+                      std::vector<std::string>& found) {
+  for (const zone_record& evacuation : record.evacuations) {
+    std::ptrdiff_t late = 0;
+    for (const std::vector<monotonic_time>& arrivals : evacuation.arrivals) {
+      late += std::count_if(
+          arrivals.begin(), arrivals.end(), [&](monotonic_time at) {
+            return at < evacuation.ended_at &&
+                   at > BoundsFrom(record, std::nullopt, evacuation.accepted_at,
+                                   at) +
+                            kEvacuation + kRecordSlack;
+          });
+    }
+    if (late > 0) {
+      found.push_back("evacuated zone got " + std::to_string(late) +
+                      " requests");
+    }
+  }
+}
+
+// Cold endpoints, from when every VM knows that they are cold.
+void CheckColdZones(const soak_record& record,
+                    std::vector<std::string>& found) {
+  for (const zone_record& cold : record.cold_zones) {
+    for (const std::vector<monotonic_time>& arrivals : cold.arrivals) {
+      std::size_t most = 0;
+      for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+        const monotonic_time at = arrivals[last];
+        const monotonic_time due =
+            BoundsFrom(record, std::nullopt, cold.accepted_at, at) +
+            kStateInForce + kRecordSlack;
+        while (first < last &&
+               (at - arrivals[first] >= seconds(1) || arrivals[first] < due))
+          ++first;
+        if (at >= due && at < cold.ended_at)
+          most = std::max(most, last - first + 1);
+      }
+      if (static_cast<double>(most) > kSoakWarmUpRate * 1.5 + 8) {
+        found.push_back("cold endpoint got " + std::to_string(most) +
+                        " requests in a second");
+      }
+    }
+  }
+}
+
 bool IsPlannedStop(const fault_record& fault) {
   return fault.kind == soak_fault::kStopVm ||
          fault.kind == soak_fault::kStopAll;
@@ -233,6 +281,8 @@
   CheckLeavingAfterFaults(record, found);
   CheckServing(record, found);
   CheckStops(record, found);
+  CheckEvacuations(record, found);
+  CheckColdZones(record, found);
   return found;
 }
 
--- a/tests/platform/soak/soak_checks.h
+++ b/tests/platform/soak/soak_checks.h
@@ -10,6 +10,9 @@
 namespace papayakeel::platform {
 
 // One line for each violation; empty when all invariants held.
+// What a cold endpoint of the soak can handle, in requests per second.
+constexpr double kSoakWarmUpRate = 3.7;
+
 std::vector<std::string> FindViolations(const soak_record& record);
 
 }  // namespace papayakeel::platform
--- a/tests/platform/soak/soak_checks_test.cc
+++ b/tests/platform/soak/soak_checks_test.cc
@@ -168,4 +168,32 @@
   LONGS_EQUAL(1, Violations());
 }
 
+// Requests for an evacuated zone count from 5 s after it was accepted, or after
+// a fault has ended, until it is revoked.
+TEST(soak_checks, FindsRequestsForAnEvacuatedZone) {
+  record.evacuations.push_back({start, start + seconds(20), {{}, {}}});
+  std::vector<monotonic_time>& arrivals = record.evacuations[0].arrivals[1];
+  arrivals = {start + seconds(5), start + seconds(20)};
+  LONGS_EQUAL(0, Violations());
+  arrivals.push_back(start + seconds(6));
+  LONGS_EQUAL(1, Violations());
+  record.faults.push_back({soak_fault::kStoreSilent, std::nullopt,
+                           start + seconds(1), start + seconds(2)});
+  LONGS_EQUAL(0, Violations());
+  arrivals.push_back(start + seconds(11));
+  LONGS_EQUAL(1, Violations());
+}
+
+TEST(soak_checks, FindsTooManyRequestsForAColdEndpoint) {
+  record.cold_zones.push_back({start, start + seconds(8), {{}}});
+  std::vector<monotonic_time>& arrivals = record.cold_zones[0].arrivals[0];
+  for (int count = 0; count < 13; ++count)
+    arrivals.push_back(start + seconds(4) + milliseconds(count * 70));
+  LONGS_EQUAL(0, Violations());
+  arrivals.push_back(start + seconds(4) + milliseconds(990));
+  LONGS_EQUAL(1, Violations());
+  arrivals.back() = start + seconds(5);
+  LONGS_EQUAL(0, Violations());
+}
+
 }  // namespace papayakeel::platform
--- a/tests/platform/soak/soak_record.h
+++ b/tests/platform/soak/soak_record.h
@@ -55,12 +55,21 @@
   std::vector<monotonic_time> arrivals;
 };
 
+// A time in which the endpoints of a zone may get nothing, or little.
+struct zone_record {
+  monotonic_time accepted_at;
+  monotonic_time ended_at;
+  std::vector<std::vector<monotonic_time>> arrivals;  // By endpoint.
+};
+
 struct soak_record {
   std::vector<call_record> calls;
   std::vector<fault_record> faults;
   std::vector<state_record> states;
   std::vector<leaving_record> leaving;
   std::vector<serving_record> serving;
+  std::vector<zone_record> evacuations;
+  std::vector<zone_record> cold_zones;
   // A line for each process that ended although nobody told it to.
   std::vector<std::string> unrequested_ends;
   // When callers began to press, if they did, and when all stopped.
