--- a/tests/servers/scheduling/warm_up_limit_test.cc
+++ b/tests/servers/scheduling/warm_up_limit_test.cc
@@ -214,7 +214,7 @@
 }
 
 // Guards against warm endpoints that lose their share to the limit, and against
-// a limit without `warmup_per_s`.
+// a limit where the operator set none.
 TEST(warm_up_limit, WarmEndpointsTakeTheRest) {
   cold_owner limited(kRate, start, start + kColdTime, 8);
   limited.RunFor(seconds(2), 1);
