Notify owners when an endpoint's zone changes

The zone of an endpoint now decides whether it may be used, and an entry that differed only in it was stored without a notification. endpoint_registry passes; its new test guards against that.

--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -42,6 +42,7 @@
   const bool is_same =
       known.started_unix_ms == stored.started_unix_ms &&
       known.service == stored.service && known.address == stored.address &&
+      known.availability_zone == stored.availability_zone &&
       known.slots == stored.slots && known.is_leaving == stored.is_leaving &&
       IsAbout(known.warm_up_ends_at, stored.warm_up_ends_at);
   if (previous_service != entry.service) {
--- a/tests/servers/discovery/endpoint_registry_test.cc
+++ b/tests/servers/discovery/endpoint_registry_test.cc
@@ -102,6 +102,22 @@
   CHECK(kept < 2000);
 }
 
+// Guards against requests for an endpoint that has moved to an evacuated zone.
+TEST(endpoint_registry, ZoneChangesAreNotified) {
+  endpoint_registry registry;
+  int notifications = 0;
+  registry.Subscribe([&](const std::string&) { ++notifications; });
+  endpoint_entry entry = MakeEntry("i-1", 1, 1);
+  registry.Put(entry);
+  entry.sequence = 2;
+  registry.Put(entry);
+  LONGS_EQUAL(1, notifications);
+  entry.sequence = 3;
+  entry.availability_zone = "b";
+  registry.Put(entry);
+  LONGS_EQUAL(2, notifications);
+}
+
 // Guards against owners that do not learn that an endpoint has become cold, and
 // against a cold period that begins anew with each listing or refresh.
 TEST(endpoint_registry, ColdPeriodsAreNotifiedAndEnd) {
