--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -158,6 +158,7 @@
          {"detail", result.detail}});
   }
   may_have_run_ |= !IsCertainlyNotRun(result.outcome);
+  sent_ -= result.outcome == attempt_outcome::kNotSent ? 1 : 0;
   services_.slots->Report(number_, attempt, result.outcome, result.load);
   // No retry for a disconnected caller.
   if (is_caller_disconnected_ && result.outcome != attempt_outcome::kAnswered)
@@ -260,6 +261,7 @@
   RemoveHopByHopHeaders(response);
   response.erase(services_.headers->endpoint_load);
   response.erase(services_.headers->endpoint_leaving);
+  response.erase(services_.headers->endpoint_warm_up);
   response.erase(services_.headers->not_run);
   response.erase(services_.headers->endpoint_id);
   if (response.find(services_.headers->request_id) == response.end())
--- a/servers/scheduling/attempt_outcome.h
+++ b/servers/scheduling/attempt_outcome.h
@@ -4,6 +4,8 @@
 
 #include <optional>
 
+#include "core/monotonic_time.h"
+
 namespace papayakeel {
 
 enum class attempt_outcome {
@@ -14,6 +16,7 @@
   kMisdirected,  // The address belongs to another endpoint; not run.
   kBroken,       // Connection or response broke off; may have run.
   kCancelled,    // Cancelled by this process; may have run.
+  kNotSent,      // Withheld: the holder knows that it must not be sent there.
 };
 
 // Returns the name of `outcome` that logs, metrics and messages use.
@@ -30,6 +33,8 @@
   // Current processing time relative to the usual time; 1 if the endpoint does
   // not report it.
   double slowdown = 1;
+  // How long the endpoint stays cold; not set if it does not say.
+  std::optional<time_span> warm_up_left = std::nullopt;
 };
 
 }  // namespace papayakeel
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -74,20 +74,26 @@
                                double probes_per_second,
                                monotonic_time now)
     : entry_(std::move(entry)),
-      warm_up_ends_at_(now + entry_.warm_up_left),
+      may_check_(probes_per_second > 0),
       probe_budget_(probes_per_second, kProbeBurst, std::chrono::seconds(1)),
       added_at_(now) {
   probe_budget_.Accrue(now);
+  warm_up_.SetEnd(entry_.warm_up_ends_at, now);
 }
 
 void endpoint_slots::Update(const endpoint_entry& entry, monotonic_time now) {
   const bool is_new_start = entry.started_unix_ms != entry_.started_unix_ms ||
                             entry.address != entry_.address;
+  if (is_new_start)
+    warm_up_.SetEnd(monotonic_time(), now);
+  // A status check may have reported a later end since the entry was written.
+  if (is_new_start || entry.warm_up_ends_at != entry_.warm_up_ends_at)
+    warm_up_.SetEnd(entry.warm_up_ends_at, now);
   entry_ = entry;
   is_listed_ = true;
-  warm_up_ends_at_ = now + entry.warm_up_left;
   if (!is_new_start)
     return;
+  needs_check_ = false;
   consecutive_failures_ = 0;
   failure_rate_ = 0;
   observed_slowdown_ = 1;
@@ -107,6 +113,20 @@
 }
 
 int endpoint_slots::FreeSlots(monotonic_time now) const {
+  if (needs_check_ && !(may_try_unchecked_ && running_.empty()))
+    return 0;
+  return warm_up_.Allowed(SlotsLeft(now), now);
+}
+
+bool endpoint_slots::CountDeferral(monotonic_time now) {
+  const int left = SlotsLeft(now);
+  if (is_deferral_counted_ || left == 0 || warm_up_.Allowed(left, now) > 0)
+    return false;
+  is_deferral_counted_ = true;
+  return true;
+}
+
+int endpoint_slots::SlotsLeft(monotonic_time now) const {
   // A failing endpoint gets one attempt at a time until an attempt succeeds.
   const int slots =
       consecutive_failures_ >= kFailuresToEject ? 1 : entry_.slots;
@@ -118,6 +138,9 @@
                            double contention_factor,
                            monotonic_time now) {
   const endpoint_forecast forecast = Forecast(now);
+  warm_up_.Take(now);
+  may_try_unchecked_ = false;
+  is_deferral_counted_ = false;
   running_attempt started;
   started.started = now;
   started.has_last_slot = forecast.is_nearly_full;
@@ -150,6 +173,13 @@
   if (run.started < load_requested_at_)
     ++ended_since_load_;
   running_.erase(found);
+  if (outcome == attempt_outcome::kNotSent) {
+    // Says nothing about the endpoint. The holder has read of an evacuation or
+    // a leaving that this owner reads shortly; until then each grant there
+    // would come back.
+    ejected_until_ = std::max(ejected_until_, now + kInitialBackoff);
+    return ended;
+  }
   const bool is_failure = outcome != attempt_outcome::kAnswered &&
                           outcome != attempt_outcome::kCancelled;
   if (outcome != attempt_outcome::kCancelled) {
@@ -181,6 +211,11 @@
     ejected_until_ = std::max(ejected_until_, now + kFullEndpointBackoff);
     return;
   }
+  if (warm_up_.has_rate() && may_check_ &&
+      outcome != attempt_outcome::kServerError) {
+    needs_check_ = true;
+    may_try_unchecked_ = false;
+  }
   ++consecutive_failures_;
   const bool is_endpoint_unreachable =
       outcome == attempt_outcome::kUnreachable ||
@@ -209,8 +244,11 @@
   const monotonic_time requested_at = *probe_sent_at_;
   probe_sent_at_.reset();
   has_ended_probe_ = true;
-  if (!load)
+  if (!load) {
+    may_try_unchecked_ = true;
     return;
+  }
+  needs_check_ = false;
   RecordLoad(*load, now);
   load_requested_at_ = requested_at;
   is_load_from_probe_ = true;
@@ -227,6 +265,11 @@
 void endpoint_slots::RecordLoad(const endpoint_load& load, monotonic_time now) {
   load_ = load;
   load_received_at_ = now;
+  if (load.warm_up_left) {
+    warm_up_.SetEnd(*load.warm_up_left > time_span(0) ? now + *load.warm_up_left
+                                                      : monotonic_time(),
+                    now);
+  }
   if (load.slowdown <= kSlowReportThreshold) {
     slow_since_.reset();
   } else if (!slow_since_) {
@@ -266,7 +309,7 @@
   forecast.is_in_slow_phase = slow_since_ && now - *slow_since_ < kMaxSlowPhase;
   forecast.multiplier =
       StragglerSlowdown(now) * (1 + kFailureCostFactor * failure_rate_);
-  if (now < warm_up_ends_at_)
+  if (warm_up_.IsCold(now))
     forecast.multiplier *= kColdStartFactor;
   forecast.is_nearly_full = IsNearlyFull(now);
   forecast.has_fresh_report = ReportAge(now) <= kMaxFreshReportAge;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -150,7 +150,8 @@
     if (found != endpoints_.end()) {
       found->second.Update(entry, now);
     } else {
-      endpoints_.try_emplace(entry.id, entry, settings_.probes_per_second, now);
+      endpoints_.try_emplace(entry.id, entry, settings_.probes_per_second, now)
+          .first->second.SetWarmUpRate(warm_up_rate_, now);
     }
   }
   for (auto each = endpoints_.begin(); each != endpoints_.end();) {
@@ -163,6 +164,12 @@
   PlaceWaitingRequests(now);
 }
 
+void slot_scheduler::SetWarmUpRate(double rate, monotonic_time now) {
+  warm_up_rate_ = rate;
+  for (auto& [id, endpoint] : endpoints_)
+    endpoint.SetWarmUpRate(rate, now);
+}
+
 void slot_scheduler::Submit(const slot_request& request, monotonic_time now) {
   const auto [entry, is_new] = requests_.try_emplace(request.key);
   if (!is_new)
@@ -250,12 +257,15 @@
     return Cancel(key, now);
   }
   record.may_have_run |= !IsCertainlyNotRun(outcome);
+  if (outcome == attempt_outcome::kNotSent)
+    --record.attempts;
   const bool may_try_again = record.request.may_repeat || !record.may_have_run;
   if (!record.running.empty() || (record.is_waiting && may_try_again)) {
     PlaceWaitingRequests(now);
     return;
   }
-  const bool was_sent = outcome != attempt_outcome::kUnreachable;
+  const bool was_sent = outcome != attempt_outcome::kUnreachable &&
+                        outcome != attempt_outcome::kNotSent;
   const bool is_allowed = may_try_again &&
                           record.attempts < record.request.max_attempts &&
                           (!was_sent || repeats_.CanRepeat(now));
@@ -265,7 +275,8 @@
     PlaceWaitingRequests(now);
     return;
   }
-  ReserveRepeat(record, now);
+  if (record.attempts > 0)
+    ReserveRepeat(record, now);
   Dequeue(record);
   Enqueue(record, false, now);
   PlaceWaitingRequests(now);
@@ -369,9 +380,14 @@
     monotonic_time now) {
   std::vector<candidate> free;
   for (auto& [id, endpoint] : endpoints_) {
-    const bool is_free = endpoint.IsUsable() && !endpoint.IsEjected(now) &&
-                         endpoint.FreeSlots(now) > 0;
-    if (is_free)
+    if (!endpoint.IsUsable() || endpoint.IsEjected(now))
+      continue;
+    if (endpoint.NeedsCheck() && endpoint.TryProbe(now)) {
+      ++counters_.probes;
+      hooks_.probe(endpoint.entry());
+    }
+    counters_.warm_up_deferrals += endpoint.CountDeferral(now) ? 1 : 0;
+    if (endpoint.FreeSlots(now) > 0)
       free.push_back({&endpoint, endpoint.Forecast(now)});
   }
   return free;
@@ -642,6 +658,23 @@
   }
 }
 
+void slot_scheduler::RefuseWithoutEndpoint(monotonic_time now) {
+  if (waiting_.empty() || HasUsableEndpoint())
+    return;
+  std::vector<request_key> keys;
+  for (const auto& [position, record] : waiting_)
+    keys.push_back(position.key);
+  for (const request_key& key : keys) {
+    request_record& record = requests_.at(key);
+    if (record.running.empty()) {
+      Reject(key, slot_refusal::kNoEndpoint,
+             RetryAfter(record.request, kNoEndpointRetryAfter, now));
+    } else {
+      Dequeue(record);
+    }
+  }
+}
+
 time_span slot_scheduler::ExpectedWait(const queue_key& position,
                                        monotonic_time now) const {
   int ahead = 0;
@@ -795,6 +828,7 @@
                          {"in_flight", endpoint.in_flight()},
                          {"free_slots", endpoint.FreeSlots(now)},
                          {"usable", endpoint.IsUsable()},
+                         {"cold", endpoint.IsCold(now)},
                          {"ejected", endpoint.IsEjected(now)}});
   }
   return {{"waiting", waiting_.size()},
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -29,6 +29,8 @@
 
 constexpr unsigned kHttp11 = 11;
 constexpr char kService[] = "booking";
+const std::string kEvacuationPrefix = "op/evacuate/";
+const std::string kEvacuationValue = "{}";
 
 http_response MakeAnswer(http::status status, const std::string& body) {
   http_response response(status, kHttp11);
@@ -37,6 +39,13 @@
   return response;
 }
 
+// Whole milliseconds from now until an endpoint is warm.
+std::int64_t WarmUpMs(monotonic_time cold_until) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      cold_until - std::chrono::steady_clock::now());
+  return std::max<std::int64_t>(left.count(), 0);
+}
+
 json MakeRoute(const std::string& name,
                const std::string& prefix,
                const std::string& kind) {
@@ -132,6 +141,16 @@
   std::vector<std::function<void()>> writes;
   if (!newest_state_.empty() && !has("op/config", newest_state_))
     writes.emplace_back([this] { Put("op/config", newest_state_); });
+  for (const auto& [name, is_in_force] : evacuations_) {
+    if (has(kEvacuationPrefix + name, is_in_force ? kEvacuationValue : ""))
+      continue;
+    writes.emplace_back([this, zone = name] {
+      if (evacuations_.at(zone))
+        Evacuate(zone);
+      else
+        RevokeEvacuation(zone);
+    });
+  }
   for (std::size_t index = 0; index < endpoints_.size(); ++index) {
     const stand_in_endpoint& known = *endpoints_[index];
     if (has("servers/" + known.id, known.entry))
@@ -170,17 +189,42 @@
       {"listeners", json::array({{{"host", "a.example"}, {"policy", policy}}})},
       {"clusters", json::array({{{"name", kService},
                                  {"health_path", "/health"},
+                                 {"warmup", "3s"},
+                                 {"warmup_per_s", warm_up_rate_},
                                  {"max_conns", 100}}})}};
   newest_state_ = state.dump();
   Put("op/config", newest_state_);
 }
 
-std::size_t platform_stand_in::AddEndpoint(time_span work) {
+void platform_stand_in::Evacuate(const std::string& zone) {
+  evacuations_[zone] = true;
+  Put(kEvacuationPrefix + zone, kEvacuationValue);
+}
+
+void platform_stand_in::RevokeEvacuation(const std::string& zone) {
+  evacuations_[zone] = false;
+  Remove(kEvacuationPrefix + zone);
+}
+
+void platform_stand_in::MakeCold(std::size_t endpoint,
+                                 time_span length,
+                                 bool is_reported) {
+  Run([&] {
+    endpoints_.at(endpoint)->cold_until =
+        std::chrono::steady_clock::now() + length;
+    endpoints_.at(endpoint)->reports_warm_up = is_reported;
+  });
+  Register(endpoint, false);
+}
+
+std::size_t platform_stand_in::AddEndpoint(time_span work,
+                                           const std::string& zone) {
   const std::size_t index = endpoints_.size();
   Run([&] {
     endpoints_.push_back(std::make_unique<stand_in_endpoint>());
     stand_in_endpoint& added = *endpoints_.back();
     added.id = "i-" + std::to_string(index);
+    added.zone = zone;
     added.work = work;
     added.listener = Listen([this, index](const http_exchange& exchange) {
       HandleEndpoint(index, exchange);
@@ -207,11 +251,17 @@
       {"address", known.published_address.ToString()},
       {"born", 1000},
       {"info",
-       {{"service", kService}, {"version", "v1"}, {"zone", "z"}, {"slots", 2}}},
+       {{"service", kService},
+        {"version", "v1"},
+        {"zone", known.zone},
+        {"slots", 2}}},
       {"status",
        {{"state", is_leaving ? "draining" : "ready"},
         {"seq", ++known.registrations},
-        {"warmup_left", "0ms"}}}};
+        {"warmup_left",
+         std::to_string(known.reports_warm_up ? WarmUpMs(known.cold_until)
+                                              : 0) +
+             "ms"}}}};
   known.entry = entry.dump();
   Put("servers/" + known.id, known.entry);
 }
@@ -247,8 +297,12 @@
   response.set("Papayakeel-Instance-Id", endpoint.id);
   if (endpoint.announces_leaving)
     response.set("Server-Leaving", "1");
-  if (request.target() == "/health")
+  if (request.target() == "/health") {
+    response.set("Papayakeel-Warmup-Ms",
+                 std::to_string(WarmUpMs(endpoint.cold_until)));
+    endpoint.status_check_times.push_back(std::chrono::steady_clock::now());
     return exchange.respond(std::move(response));
+  }
   const std::string expected(request["Papayakeel-Expect-Instance"]);
   if (!expected.empty() && expected != endpoint.id) {
     response.result(http::status::misdirected_request);
@@ -316,6 +370,13 @@
   return times;
 }
 
+std::vector<monotonic_time> platform_stand_in::StatusCheckTimesOn(
+    std::size_t endpoint) {
+  std::vector<monotonic_time> times;
+  Run([&] { times = endpoints_.at(endpoint)->status_check_times; });
+  return times;
+}
+
 network_address platform_stand_in::StoreAddress() const {
   return store_->address();
 }
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -41,8 +41,9 @@
   // Brings an older copy of the store back. What was written since is missing
   // until WriteAgain().
   void RestoreStore(const store_copy& copy);
-  // Writes the newest desired state and the entries of all endpoints again, and
-  // removes those of endpoints that have left, in an order drawn from `seed`.
+  // Writes the newest desired state, the evacuations and the entries of all
+  // endpoints again, and removes those that have ended, in an order drawn from
+  // `seed`.
   void WriteAgain(std::uint64_t seed);
   // The writes of WriteAgain(), one by one; with `copy` only those that it
   // lacks. Each writes what is newest when it is called.
@@ -56,8 +57,19 @@
   // The size of a request's body that desired states allow which are put later.
   void SetBodyLimit(std::size_t bytes) { body_limit_ = bytes; }
 
+  // Evacuates a zone, or revokes that.
+  void Evacuate(const std::string& zone);
+  void RevokeEvacuation(const std::string& zone);
+
+  // What a cold endpoint can handle by the desired states that are put later,
+  // in requests per second.
+  void SetWarmUpRate(double rate) { warm_up_rate_ = rate; }
+  // Makes the endpoint cold for `length`. Its status checks say so, and its
+  // entry when `is_reported`.
+  void MakeCold(std::size_t endpoint, time_span length, bool is_reported);
+
   // Starts an endpoint that takes `work` for each request and registers it.
-  std::size_t AddEndpoint(time_span work);
+  std::size_t AddEndpoint(time_span work, const std::string& zone = "z");
   // From now on it takes this long for each request.
   void SetWork(std::size_t endpoint, time_span work);
   // From now on its answers have at least this many bytes.
@@ -84,6 +96,8 @@
   std::optional<monotonic_time> LastArrivalOn(std::size_t endpoint);
   // When requests reached this endpoint, oldest first.
   std::vector<monotonic_time> ArrivalTimesOn(std::size_t endpoint);
+  // When status checks reached this endpoint, oldest first.
+  std::vector<monotonic_time> StatusCheckTimesOn(std::size_t endpoint);
 
   // Starts an entry VM at an address of its own. Its log goes to a file, or to
   // `log_path` when that is given.
@@ -110,15 +124,19 @@
  private:
   struct stand_in_endpoint {
     std::string id;
+    std::string zone;
     time_span work{0};
     std::size_t answer_bytes = 0;
     bool is_rejecting = false;
     bool announces_leaving = false;
     int registrations = 0;
+    monotonic_time cold_until;
+    bool reports_warm_up = true;  // In its entry.
     bool is_leaving = false;
     bool is_registered = true;
     int runs = 0;
     std::vector<monotonic_time> arrival_times;
+    std::vector<monotonic_time> status_check_times;
     std::string entry;  // As it was last written.
     network_address published_address;
     std::unique_ptr<http_listener> listener;
@@ -144,6 +162,9 @@
       work_guard_;
   std::unique_ptr<store_stand_in> store_;
   std::string newest_state_;  // As the operator wrote it.
+  double warm_up_rate_ = 0;
+  // Zones that have been evacuated, and whether they still are.
+  std::map<std::string, bool> evacuations_;
   network_address published_store_address_;
   int memory_megabytes_ = 260;
   std::size_t body_limit_ = 1 << 20;
