--- a/tests/modules/http/answer_reader_test.cc
+++ b/tests/modules/http/answer_reader_test.cc
@@ -146,10 +146,11 @@
       "x!#$%&'*+-.^_`|~09: v\r\nX-Empty:\r\nX-Blank: \t \r\n"
       "X-Text:a\tb c\xe4\"(:;\r\n";
   const std::string head = "HTTP/1.1 200 OK\r\n" + lines;
+  std::string chunked =
+      head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0;x\r\n";
+  chunked += lines + "\r\n";
   for (const std::string& bytes :
-       {head + "Content-Length: 2\r\n\r\nok",
-        head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0;x\r\n" + lines +
-            "\r\n"}) {
+       {head + "Content-Length: 2\r\n\r\nok", chunked}) {
     for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
       answer_reader reader;
       reader.Start({});
--- a/tests/modules/support/malformed_answers.cc
+++ b/tests/modules/support/malformed_answers.cc
@@ -51,9 +51,12 @@
 std::vector<malformed_answer> MakeInvalidStatuses(const std::string& fields) {
   std::vector<malformed_answer> answers;
   for (const char* const status : {"000", "001", "099", "101", "600", "999"}) {
-    answers.push_back({status, std::string("HTTP/1.1 ") + status + " Odd\r\n" +
-                                   fields + kLength + "\r\nno" + kOk + fields +
-                                   kLength + "\r\nok"});
+    std::string bytes = std::string("HTTP/1.1 ") + status + " Odd\r\n";
+    for (const std::string& part :
+         {fields, std::string(kLength), std::string("\r\nno"), std::string(kOk),
+          fields, std::string(kLength), std::string("\r\nok")})
+      bytes += part;
+    answers.push_back({status, bytes});
   }
   return answers;
 }
