Measure a fleet whose store is silent to or refuses some of its VMs

The stand-in store tells its callers apart by the address that they call, so that a fault can hold for some VMs only.

--- a/tests/platform/store_stand_in.cc
+++ b/tests/platform/store_stand_in.cc
@@ -31,10 +31,11 @@
 
 }  // namespace
 
-store_stand_in::store_stand_in(boost::asio::io_context& context)
+store_stand_in::store_stand_in(boost::asio::io_context& context,
+                               const std::string& host)
     : context_(context) {
   content_.revision = 1;
-  Listen({"127.0.0.1", 0});
+  Listen({host, 0});
 }
 
 void store_stand_in::Listen(const network_address& address) {
@@ -63,17 +64,24 @@
   const std::string target(ToStringView(exchange.request.target()));
   if (call_hook_)
     call_hook_(target);
-  if (fault_ == store_fault::kSilent) {
+  const store_fault fault = FaultOf(exchange);
+  if (fault == store_fault::kSilent) {
     silenced_.push_back(std::move(exchange));
     return;
   }
-  if (fault_ == store_fault::kRefuses)
+  if (fault == store_fault::kRefuses)
     return Respond(exchange, http::status::service_unavailable, "{}");
   if (target.find("kv-range") != std::string::npos)
     return AnswerListing(exchange, target);
   HandleWatch(std::move(exchange), target);
 }
 
+store_fault store_stand_in::FaultOf(const http_exchange& exchange) const {
+  return fault_hook_ ? fault_hook_(std::string(
+                           ToStringView(exchange.request[http::field::host])))
+                     : fault_;
+}
+
 void store_stand_in::AnswerListing(const http_exchange& exchange,
                                    const std::string& target) {
   json items = json::array();
@@ -152,6 +160,11 @@
   HandleWatchesAgain();
 }
 
+void store_stand_in::SetFaultHook(fault_hook hook) {
+  fault_hook_ = std::move(hook);
+  HandleWatchesAgain();
+}
+
 void store_stand_in::Restore(const store_copy& copy) {
   content_ = copy;
   ++era_;
--- a/tests/platform/store_stand_in.h
+++ b/tests/platform/store_stand_in.h
@@ -44,8 +44,13 @@
  public:
   // Called with the target of each request, before it is answered.
   using call_hook = std::function<void(const std::string& target)>;
+  // Returns what the store does with a call to the address `host` (with port).
+  using fault_hook = std::function<store_fault(const std::string& host)>;
 
-  explicit store_stand_in(boost::asio::io_context& context);
+  // `host` is the address to listen at. With 0.0.0.0, each process can call the
+  // store at an address of its own, and `SetFaultHook` tells them apart.
+  explicit store_stand_in(boost::asio::io_context& context,
+                          const std::string& host = "127.0.0.1");
 
   network_address address() const { return listener_->local_address(); }
   std::uint64_t revision() const { return content_.revision; }
@@ -55,6 +60,8 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void SetFault(store_fault fault);
+  // Takes the place of `SetFault`, for faults that not all callers see.
+  void SetFaultHook(fault_hook hook);
   // The number of items of a listing's page.
   void SetPageSize(std::size_t items) { page_size_ = items; }
   void SetCallHook(call_hook hook) { call_hook_ = std::move(hook); }
@@ -80,6 +87,7 @@
   void HandleWatch(http_exchange exchange, const std::string& target);
   void AnswerWatch(std::uint64_t number);
   void AnswerChangedWatches();
+  store_fault FaultOf(const http_exchange& exchange) const;
   // Handles the watches that wait like new calls.
   void HandleWatchesAgain();
   void Respond(const http_exchange& exchange,
@@ -92,6 +100,7 @@
   store_copy content_;
   std::size_t page_size_ = 500;
   call_hook call_hook_;
+  fault_hook fault_hook_;
   // By watch number, because the handler of an expired timer can run after its
   // watch was answered and erased.
   std::map<std::uint64_t, waiting_watch> watches_;
