Let a few standby readers call the store when the readers cannot

Cause: a follower whose relays had lost the store called the store itself, and a reader that the store turned away never read from another VM.

servers/placement/store_readers names three readers and six standby readers, the latter by falling capacity so that a fleet with few large VMs has them, too. modules/state_feed/source_search decides from the answers and failures so far whether the next call goes to a relay or to the store: followers call the store only when no relay can be reached, standby readers while no reader has the state or while they are asked, and processes that the store turns away read from a relay and call the store again each 1 to 3 s. A relay that reads the store holds a watch for up to 0.2 s until the store has answered. Followers take relays that refuse for 1 s for an outage of the store, as they took their own calls before.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -9,7 +9,7 @@
 #include "modules/state_feed/state_relay.h"
 #include "servers/discovery/endpoint_registry.h"
 #include "servers/membership/entry_directory.h"
-#include "servers/placement/duty_placement.h"
+#include "servers/placement/store_readers.h"
 #include "servers/routing/desired_state_store.h"
 
 namespace papayakeel {
@@ -56,10 +56,11 @@
 // No entry expires in a store outage shorter than this.
 constexpr time_span kMinExpiringOutage = std::chrono::seconds(1);
 
-// In fleets of at least this size, only a few entry VMs read the store and the
-// others read from them.
-constexpr std::size_t kMinRelayedFleetSize = 30;
-constexpr std::size_t kReaderCount = 3;
+// How long a reader that the store turns away reads from a relay before it
+// calls the store again, half to one and a half times. A silent store delays
+// the news of the relay by up to `kWatchAnswerTimeout` each time.
+constexpr time_span kTurnedAwayWait = std::chrono::seconds(2);
+
 // A process that has just started knows few members and would watch the store
 // itself, which costs one call for each burst of changes. The process first
 // waits until its member list has been stable for kMinStableTime.
@@ -69,7 +70,9 @@
 
 // Short, because a change must be in force everywhere within 2 s: readers that
 // are cut off from the store, and their followers, must detect it in time.
-constexpr time_span kRelayedWatchWait = std::chrono::milliseconds(600);
+constexpr time_span kReaderWatchWait = std::chrono::milliseconds(600);
+// Fleets of this size have readers.
+constexpr std::size_t kMinRelayedFleetSize = 30;
 constexpr time_span kRelayTimeout = std::chrono::milliseconds(300);
 // An answer whose parts keep arriving is read on for up to this time. The store
 // has the newest state sooner than a relay that takes longer; a store that is
@@ -102,7 +105,8 @@
     : registry_(registry),
       settings_(settings),
       contract_(std::move(contract)),
-      random_(std::move(random)) {}
+      random_(std::move(random)),
+      search_(std::hash<std::string>()(settings_.vm_name)) {}
 
 void state_feed::Start() {
   loop_ = registry_.Find<event_loop>(event_loop::kName);
@@ -114,6 +118,10 @@
   timer_.emplace(loop_->context());
   removal_timer_.emplace(loop_->context());
   started_at_ = event_loop::Now();
+  relay_->SetAskedHook([this] {
+    search_.OnAsked(event_loop::Now());
+    return search_.IsReading(event_loop::Now());
+  });
   directory_->Subscribe([this] { members_changed_at_ = event_loop::Now(); });
   List("");
 }
@@ -203,10 +211,10 @@
   const store_page_result page =
       contract_.read_list(answer->result_int(), answer->body());
   if (!page)
-    return OnFailure(ToString(page.error()));
+    return OnRefusal(ToString(page.error()));
   const store_position as_of = {contract_.read_era(*answer), page->as_of};
   if (IsRelayBehind(as_of))
-    return OnFailure("relay_behind");
+    return OnRefusal("relay_behind");
   OnSuccess();
   if (listing_position_ && listing_position_->era != as_of.era) {
     may_list_outdated_ = false;
@@ -272,7 +280,7 @@
   }
   position_ = *listing_position_;
   relay_->SetListing(listed_changes_, position_);
-  relay_->SetFresh(is_reader_);
+  UpdateRelay();
   listed_changes_.clear();
   if (!has_listing_) {
     Log(log_level::kInfo, "store_listed",
@@ -300,8 +308,7 @@
   if (!has_joined_ && !is_listing_unconfirmed_)
     return Schedule(kJoinCheckInterval, [this] { Watch(); });
   source_ = is_listing_unconfirmed_ ? ChooseConfirmingSource() : ChooseSource();
-  const bool is_relayed = IsFollowing() || is_reader_;
-  relay_->SetFresh(has_listing_ && is_reader_ && failures_in_row_ == 0);
+  UpdateRelay();
   if (is_listing_unconfirmed_) {
     const time_span no_wait = state_relay::kNoWait;
     return Fetch(IsFollowing()
@@ -310,10 +317,20 @@
                  IsFollowing() ? kConfirmationTimeout : kWatchAnswerTimeout,
                  &state_feed::OnWatch);
   }
-  const time_span wait = is_relayed ? kRelayedWatchWait : kWatchWait;
-  Fetch(IsFollowing() ? contract_.relay_watch_target(position_, wait)
-                      : contract_.watch_target(position_.revision, wait),
-        wait + (is_relayed ? kRelayTimeout : kWatchAnswerTimeout),
+  if (IsFollowing()) {
+    return Fetch(contract_.relay_watch_target(position_, max_wait_),
+                 max_wait_ + kRelayTimeout, &state_feed::OnWatch);
+  }
+  const bool is_reading = search_.IsReading(event_loop::Now());
+  if (is_reading && !search_.has_store()) {
+    // Followers wait for the answer.
+    return Fetch(
+        contract_.watch_target(position_.revision, state_relay::kNoWait),
+        kWatchAnswerTimeout, &state_feed::OnWatch);
+  }
+  const time_span wait = is_reading ? kReaderWatchWait : kWatchWait;
+  Fetch(contract_.watch_target(position_.revision, wait),
+        wait + (is_reading ? kRelayTimeout : kWatchAnswerTimeout),
         &state_feed::OnWatch);
 }
 
@@ -324,7 +341,7 @@
       contract_.read_watch(answer->result_int(), answer->body());
   if (!page) {
     if (page.error() != store_error_code::kHistoryGone)
-      return OnFailure(ToString(page.error()));
+      return OnRefusal(ToString(page.error()));
     Log(log_level::kWarning, "store_history_gone",
         {{"era", std::to_string(position_.era)},
          {"revision", std::to_string(position_.revision)}});
@@ -338,7 +355,7 @@
   }
   const store_position as_of = {contract_.read_era(*answer), page->as_of};
   if (IsRelayBehind(as_of))
-    return OnFailure("relay_behind");
+    return OnRefusal("relay_behind");
   OnSuccess();
   if (!Continues(as_of)) {
     may_list_outdated_ = false;
@@ -354,6 +371,7 @@
   position_ = std::max(position_, as_of);
   last_away_at_.reset();
   relay_->AddChanges(page->changes, position_);
+  UpdateRelay();
   if (!IsFollowing())
     relay_->SetConfirmed();
   if (needs_second_listing_) {
@@ -400,8 +418,11 @@
          {"away_ms", std::to_string(ToMilliseconds(outage))}});
   }
   failures_in_row_ = 0;
-  relay_failures_ = 0;
-  must_ask_store_ = false;
+  if (relays_refuse_since_ && now - *relays_refuse_since_ >= kMinExpiringOutage)
+    reappearance_deadline_ =
+        std::max(reappearance_deadline_, now + kReappearanceGracePeriod);
+  relays_refuse_since_.reset();
+  search_.OnAnswer(!IsFollowing());
   const bool is_confirmation = has_listing_ || is_listing_unconfirmed_ ||
                                listing_kind_ == listing_kind::kCurrent;
   if (is_confirmation) {
@@ -410,37 +431,20 @@
   }
 }
 
-std::vector<network_address> state_feed::ChooseRelays() {
-  is_reader_ = false;
-  const std::vector<member>& members = directory_->members();
-  if (members.size() < kMinRelayedFleetSize)
-    return {};
-  std::vector<network_address> relays;
-  for (const member& each :
-       SelectMembersForDuty("store readers", members, kReaderCount)) {
-    if (each.peer_address == directory_->self().peer_address) {
-      is_reader_ = true;
-      return {};
-    }
-    relays.push_back({each.peer_address.host, settings_.relay_listen.port});
-  }
-  if (relays.empty())
-    return {};
-  // Hashing the VM name distributes the followers over the readers.
-  const std::size_t first =
-      (std::hash<std::string>()(settings_.vm_name) + relay_rotation_) %
-      relays.size();
-  std::rotate(relays.begin(),
-              relays.begin() + static_cast<std::ptrdiff_t>(first),
-              relays.end());
-  return relays;
+network_address state_feed::ChooseSource() {
+  search_.SetPlan(
+      PlanStoreReaders(directory_->members(), directory_->self().peer_address));
+  const source_choice choice =
+      search_.Choose(event_loop::Now(), !MayWaitForRelays());
+  max_wait_ = choice.max_wait;
+  if (!choice.relay)
+    return settings_.store;
+  return {choice.relay->host, settings_.relay_listen.port};
 }
 
-network_address state_feed::ChooseSource() {
-  const std::vector<network_address> relays = ChooseRelays();
-  relay_count_ = relays.size();
-  const bool is_relay_left = relay_failures_ < relays.size();
-  return is_relay_left && !must_ask_store_ ? relays.front() : settings_.store;
+void state_feed::UpdateRelay() {
+  relay_->SetFresh(has_listing_ && search_.IsReading(event_loop::Now()) &&
+                   search_.has_store() && failures_in_row_ == 0);
 }
 
 network_address state_feed::ChooseConfirmingSource() {
@@ -448,7 +452,6 @@
     return settings_.store;
   if (directory_->members().size() >= kMinRelayedFleetSize)
     return ChooseSource();
-  is_reader_ = false;
   std::vector<network_address> seeds;
   for (const network_address& each : settings_.peer_seeds) {
     if (each == settings_.peer_listen)
@@ -457,69 +460,78 @@
   }
   if (seeds.empty())
     return settings_.store;
-  return seeds[(std::hash<std::string>()(settings_.vm_name) + relay_rotation_) %
+  return seeds[(std::hash<std::string>()(settings_.vm_name) + seed_failures_) %
                seeds.size()];
 }
 
 void state_feed::OnNoAnswer(fetch_error_code error) {
-  // A silent relay takes 0.9 s. Asking further relays, which may be silent too,
-  // could delay a change by more than 2 s, so the store is asked next.
-  must_ask_store_ = IsFollowing() && error == fetch_error_code::kTimedOut &&
-                    !is_listing_unconfirmed_;
-  OnFailure(ToString(error));
+  OnFailure(ToString(error), error == fetch_error_code::kTimedOut
+                                 ? relay_failure::kSilent
+                                 : relay_failure::kUnreachable);
   // An unanswered call shows only that the store was away when it was made.
   if (!IsFollowing() && error != fetch_error_code::kBroken)
     last_away_at_ = call_started_at_;
 }
 
-void state_feed::OnFailure(std::string_view reason) {
+void state_feed::OnRefusal(std::string_view reason) {
+  OnFailure(reason, relay_failure::kRefused);
+}
+
+void state_feed::OnFailure(std::string_view reason, relay_failure failure) {
+  const monotonic_time now = event_loop::Now();
   if (IsFollowing()) {
-    // Fail over to the next relay, or to the store after the last one.
     Log(log_level::kWarning, "relay_lost",
         {{"relay", source_.ToString()},
          {"reason", std::string(reason)},
-         {"waited_ms",
-          std::to_string(ToMilliseconds(event_loop::Now() - call_started_at_))},
+         {"waited_ms", std::to_string(ToMilliseconds(now - call_started_at_))},
          {"received_bytes", std::to_string(call_bytes_)}});
-    ++relay_failures_;
-    ++relay_rotation_;
     if (is_listing_unconfirmed_) {
-      relay_failures_ = 0;
+      ++seed_failures_;
+      search_.OnRelayFailure(relay_failure::kRefused, now, time_span{0});
       return Schedule(JitteredWait(kConfirmationRetryWait),
                       [this] { Watch(); });
     }
-    time_span wait{0};
-    const bool have_all_refused = relay_failures_ >= relay_count_;
-    if (have_all_refused && !must_ask_store_ && MayWaitForRelays()) {
-      // The others have only just started, too.
-      relay_failures_ = 0;
-      wait = JitteredWait(kRelayRetryWait);
+    if (failure == relay_failure::kRefused && has_listing_) {
+      if (!relays_refuse_since_)
+        relays_refuse_since_ = now;
+      last_away_at_ = now;
     }
+    const time_span wait =
+        search_.OnRelayFailure(failure, now, JitteredWait(kRelayRetryWait));
     return Schedule(wait, [this] {
-      if (has_listing_)
+      // A store that failed may have dropped changes since.
+      if (has_listing_ && !search_.IsWithoutSource())
         Watch();
       else
         List("");
     });
   }
-  relay_->SetFresh(false);
   if (failures_in_row_ == 0) {
-    failing_since_ = event_loop::Now();
+    failing_since_ = now;
     Log(log_level::kWarning, "store_lost",
         {{"reason", std::string(reason)},
-         {"waited_ms",
-          std::to_string(ToMilliseconds(event_loop::Now() - call_started_at_))},
+         {"waited_ms", std::to_string(ToMilliseconds(now - call_started_at_))},
          {"received_bytes", std::to_string(call_bytes_)},
          {"era", std::to_string(position_.era)},
          {"revision", std::to_string(position_.revision)}});
   }
   ++failures_total_;
-  last_away_at_ = event_loop::Now();
+  last_away_at_ = now;
   const int doublings = std::min(failures_in_row_, 10);
   ++failures_in_row_;
-  const time_span wait = std::min(kMinBackoff * (1 << doublings), kMaxBackoff);
+  UpdateRelay();
   needs_second_listing_ = true;
-  Schedule(JitteredWait(wait), [this] { List(""); });
+  const bool is_reading = search_.IsReading(now);
+  const time_span wait = search_.OnStoreFailure(
+      now, JitteredWait(std::min(kMinBackoff * (1 << doublings), kMaxBackoff)),
+      JitteredWait(kTurnedAwayWait));
+  Schedule(wait, [this, is_reading] {
+    // A reader first looks for a relay that has the state.
+    if (has_listing_ && is_reading && !search_.IsWithoutSource())
+      Watch();
+    else
+      List("");
+  });
 }
 
 time_span state_feed::JitteredWait(time_span wait) {
@@ -640,13 +652,16 @@
 }
 
 nlohmann::json state_feed::DumpState() const {
-  nlohmann::json state = {{"listed", has_listing_},
-                          {"era", position_.era},
-                          {"revision", position_.revision},
-                          {"restores", restores_total_},
-                          {"calls", calls_total_},
-                          {"failures", failures_total_},
-                          {"failures_in_row", failures_in_row_}};
+  nlohmann::json state = {
+      {"listed", has_listing_},
+      {"duty", ToString(search_.duty())},
+      {"reads_for_others", search_.IsReading(event_loop::Now())},
+      {"era", position_.era},
+      {"revision", position_.revision},
+      {"restores", restores_total_},
+      {"calls", calls_total_},
+      {"failures", failures_total_},
+      {"failures_in_row", failures_in_row_}};
   if (last_answer_) {
     state["last_answer_age_ms"] =
         ToMilliseconds(event_loop::Now() - *last_answer_);
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -21,6 +21,7 @@
 #include "core/service.h"
 #include "core/service_registry.h"
 #include "modules/http/http_fetch.h"
+#include "modules/state_feed/source_search.h"
 #include "modules/state_feed/store_contract.h"
 #include "modules/state_feed/store_position.h"
 #include "servers/discovery/endpoint_entry.h"
@@ -85,12 +86,11 @@
                       std::size_t bytes,
                       time_span took,
                       time_span applied) const;
-  // Returns the entry VMs to read from instead of the store, in order of
-  // preference. Empty when this process reads the store itself. Updates
-  // `is_reader_`.
-  std::vector<network_address> ChooseRelays();
-  // Returns the address for the next call: a relay or the store.
+  // Returns the address for the next call: a relay or the store. Updates
+  // `max_wait_`.
   network_address ChooseSource();
+  // Whether the state is fresh for the followers of this process.
+  void UpdateRelay();
   // As `ChooseSource`, for the call that completes an outdated listing.
   network_address ChooseConfirmingSource();
   // Whether enough members are known to determine which entry VMs read the
@@ -105,7 +105,8 @@
   void FinishListing();
   void OnSuccess();
   void OnNoAnswer(fetch_error_code error);
-  void OnFailure(std::string_view reason);
+  void OnRefusal(std::string_view reason);
+  void OnFailure(std::string_view reason, relay_failure failure);
   // Half to one and a half times `wait`, which keeps processes that failed
   // together from retrying together.
   time_span JitteredWait(time_span wait);
@@ -159,12 +160,13 @@
   // listing is due.
   bool needs_second_listing_ = false;
   network_address source_;  // The store or a relay; target of the current call.
-  bool is_reader_ = false;  // This process reads the store for others.
-  std::size_t relay_count_ = 0;     // Relays that may be read from.
-  std::size_t relay_failures_ = 0;  // Since the last answer of any source.
-  bool must_ask_store_ = false;     // A relay was silent.
-  // Relay failures since the start: relays that failed are asked last.
-  std::size_t relay_rotation_ = 0;
+  source_search search_;
+  time_span max_wait_{0};  // Of a watch at the relay `source_`.
+  // Seeds that failed to complete the first listing.
+  std::size_t seed_failures_ = 0;
+  // The first refusal of a relay since the last answer of any source: relays
+  // refuse when the store is away.
+  std::optional<monotonic_time> relays_refuse_since_;
   std::vector<store_change> listed_changes_;  // Pages read so far.
   // Of the listing that is being read.
   listing_kind listing_kind_ = listing_kind::kCurrent;
--- a/modules/state_feed/state_relay.cc
+++ b/modules/state_feed/state_relay.cc
@@ -18,6 +18,10 @@
 // No older than the state of a reader may be.
 constexpr time_span kConfirmationAge = std::chrono::milliseconds(800);
 
+// A store that is slow answers in 400 ms; a follower that waits longer for a
+// process which the store has turned away finds another one too late.
+constexpr time_span kMaxHold = std::chrono::milliseconds(200);
+
 // A desired state of thousands of routes takes a second on the link of a small
 // VM, and its copies for all followers fill that of a reader for several.
 constexpr std::size_t kMinCompressedBytes = 1 << 10;
@@ -90,9 +94,10 @@
 }
 
 void state_relay::SetFresh(bool is_fresh) {
+  if (is_fresh_ == is_fresh)
+    return;
   is_fresh_ = is_fresh;
-  if (!is_fresh)
-    AnswerWaiting();
+  AnswerWaiting();
 }
 
 void state_relay::SetConfirmed() {
@@ -106,6 +111,18 @@
          event_loop::Now() < confirmed_until_;
 }
 
+time_span state_relay::WaitOf(const store_request& question) {
+  // A call without a wait is that of a process that starts.
+  if (!question.is_watch || question.wait <= kNoWait)
+    return time_span{0};
+  const bool is_reading = asked_hook_();
+  if (!has_listing_)
+    return time_span{0};
+  if (is_fresh_)
+    return IsUpToDate(question) ? question.wait : time_span{0};
+  return is_reading ? std::min(question.wait, kMaxHold) : time_span{0};
+}
+
 void state_relay::Handle(const http_exchange& exchange) {
   const std::optional<store_request> question =
       contract_.parse_request(ToStringView(exchange.request.target()));
@@ -115,15 +132,14 @@
       ToStringView(exchange.request[http::field::accept_encoding]) ==
       kGzipEncoding;
   const relay_call call = {*question, may_compress, exchange.respond};
-  const bool must_wait = question->is_watch && has_listing_ && is_fresh_ &&
-                         IsUpToDate(*question) && question->wait > kNoWait;
-  if (!must_wait)
+  const time_span wait = WaitOf(*question);
+  if (wait == time_span{0})
     return Answer(call);
   const std::uint64_t number = next_watch_++;
   waiting_watch& waiting = waiting_[number];
   waiting.call = call;
-  waiting.timer = std::make_unique<boost::asio::steady_timer>(loop_->context(),
-                                                              question->wait);
+  waiting.timer =
+      std::make_unique<boost::asio::steady_timer>(loop_->context(), wait);
   exchange.on_disconnect([this, number] {
     if (!is_stopped_)
       waiting_.erase(number);
--- a/modules/state_feed/state_relay.h
+++ b/modules/state_feed/state_relay.h
@@ -63,6 +63,12 @@
   void SetFresh(bool is_fresh);
   // The store has just confirmed the state.
   void SetConfirmed();
+  // Sets the hook that is called before a follower's call is answered. It
+  // returns whether this process reads the store for others; a watch then waits
+  // a short time for a state that is not fresh.
+  void SetAskedHook(std::function<bool()> hook) {
+    asked_hook_ = std::move(hook);
+  }
 
  private:
   struct kept_change {
@@ -83,6 +89,8 @@
 
   void Handle(const http_exchange& exchange);
   bool MayAnswer(const store_request& question) const;
+  // How long the answer to `question` waits for changes, or for the store.
+  time_span WaitOf(const store_request& question);
   // Whether there is nothing to answer to `watch` yet.
   bool IsUpToDate(const store_request& watch) const;
   void Answer(const relay_call& call);
@@ -105,6 +113,7 @@
   store_position as_of_;
   // History holds changes after this one, all of the era of `as_of_`.
   std::uint64_t history_from_ = 0;
+  std::function<bool()> asked_hook_ = [] { return false; };
   bool has_listing_ = false;
   bool is_fresh_ = false;
   // Until this time watches without a wait are answered, fresh or not.
