Spend repeats on callers that cannot try again, and refuse the others early

When all endpoints refuse 0.55 of what they get although they have free slots, the owner counted each refusal as a failure of the endpoint: all endpoints looked slow, were ejected for 40 ms, and requests were held for up to 614 ms and refused without an attempt. The repeat budget went to first tries, whose callers return by themselves, and the Retry-After of 200 ms used up half of their goal.

A refusal by an endpoint that reports a free slot now ends the attempt only; an endpoint is avoided if it refuses more than its service does. Repeats go by importance and then to callers that have tried before, which state a smaller limit than first tries. Hedges come last. Callers that still have tries are told to return within 5 to 15 ms.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -47,6 +47,15 @@
 // be retried.
 constexpr double kFailureCostFactor = 3;
 
+// Weight of the newest attempt in the share of refused attempts, and the excess
+// over the share of the service that chance explains: 1.8 standard deviations
+// of the average at a share of one half.
+constexpr double kRefusalWeight = 0.1;
+constexpr double kChanceRefusedShare = 0.2;
+// Time constant of the decay of an excess, so that the endpoint is tried again.
+constexpr time_span kExcessTimeConstant = std::chrono::seconds(4);
+constexpr double kMaxRefusalFactor = 5;
+
 // Ejection time after failures; doubles with each consecutive failure up to the
 // maximum.
 constexpr time_span kInitialBackoff = std::chrono::milliseconds(250);
@@ -90,6 +99,8 @@
     return;
   consecutive_failures_ = 0;
   failure_rate_ = 0;
+  refused_share_ = 0;
+  excess_refused_share_ = 0;
   observed_slowdown_ = 1;
   ejected_until_ = {};
   load_.reset();
@@ -238,6 +249,27 @@
   return load_ ? now - load_received_at_ : time_span::max() / 2;
 }
 
+void endpoint_slots::RecordRefusal(bool is_unrelated_to_load,
+                                   double service_share,
+                                   monotonic_time now) {
+  refused_share_ +=
+      kRefusalWeight * ((is_unrelated_to_load ? 1.0 : 0.0) - refused_share_);
+  const double usual = service_share + kChanceRefusedShare;
+  // Of the attempts that the service serves on average, the share that this
+  // endpoint refuses.
+  excess_refused_share_ =
+      std::max(0.0, refused_share_ - usual) / std::max(1 - service_share, 0.01);
+  refused_share_updated_at_ = now;
+}
+
+double endpoint_slots::RefusalFactor(monotonic_time now) const {
+  const double decay =
+      std::exp(-ToMilliseconds(now - refused_share_updated_at_) /
+               ToMilliseconds(kExcessTimeConstant));
+  const double served_share = 1 - excess_refused_share_ * decay;
+  return std::min(1 / std::max(served_share, 0.01), kMaxRefusalFactor);
+}
+
 double endpoint_slots::StragglerSlowdown(monotonic_time now) const {
   const double decay = std::exp(-ToMilliseconds(now - observed_at_) /
                                 ToMilliseconds(kObservedSlowdownTimeConstant));
@@ -264,8 +296,9 @@
   const double reported = load_ ? std::max(load_->slowdown, 0.1) : usual;
   forecast.slowdown = decay * reported + (1 - decay) * usual;
   forecast.is_in_slow_phase = slow_since_ && now - *slow_since_ < kMaxSlowPhase;
-  forecast.multiplier =
-      StragglerSlowdown(now) * (1 + kFailureCostFactor * failure_rate_);
+  forecast.multiplier = StragglerSlowdown(now) *
+                        (1 + kFailureCostFactor * failure_rate_) *
+                        RefusalFactor(now);
   if (now < warm_up_ends_at_)
     forecast.multiplier *= kColdStartFactor;
   forecast.is_nearly_full = IsNearlyFull(now);
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -75,6 +75,11 @@
   std::optional<ended_attempt> End(std::uint64_t attempt,
                                    attempt_outcome outcome,
                                    monotonic_time now);
+  // Records whether the endpoint refused an attempt although it had a free
+  // slot. `service_share` is the share of such attempts in the whole service.
+  void RecordRefusal(bool is_unrelated_to_load,
+                     double service_share,
+                     monotonic_time now);
 
   // Reserves a probe, which the caller then sends. Returns false while another
   // probe is pending or the probe budget is exhausted.
@@ -103,6 +108,8 @@
   };
 
   double StragglerSlowdown(monotonic_time now) const;
+  // Penalty for refusing more than the other endpoints of the service.
+  double RefusalFactor(monotonic_time now) const;
   void RecordLoad(const endpoint_load& load, monotonic_time now);
   void OnFailure(attempt_outcome outcome, monotonic_time now);
 
@@ -130,6 +137,11 @@
   double observed_slowdown_ = 1;
   monotonic_time observed_at_;
   double failure_rate_ = 0;  // Moving average over attempts, 0 to 1.
+  // Moving average of the attempts refused although a slot was free, and its
+  // excess over the share of the service; 0 to 1.
+  double refused_share_ = 0;
+  double excess_refused_share_ = 0;
+  monotonic_time refused_share_updated_at_;
   int consecutive_failures_ = 0;
   monotonic_time ejected_until_;
 };
--- a/servers/scheduling/repeat_window.cc
+++ b/servers/scheduling/repeat_window.cc
@@ -40,10 +40,16 @@
 }
 
 bool repeat_window::CanRepeat(monotonic_time now) {
+  return left(now) >= 1;
+}
+
+double repeat_window::allowance() const {
+  return kUsableShare * settings_.ratio * requests_ + settings_.slack;
+}
+
+double repeat_window::left(monotonic_time now) {
   Expire(now);
-  const double allowed =
-      kUsableShare * settings_.ratio * requests_ + settings_.slack;
-  return repeats_ + 1 <= allowed;
+  return allowance() - repeats_;
 }
 
 void repeat_window::CountRepeat(monotonic_time now) {
--- a/servers/scheduling/repeat_window.h
+++ b/servers/scheduling/repeat_window.h
@@ -27,6 +27,11 @@
   // Returns whether the budget allows one more repeat.
   bool CanRepeat(monotonic_time now);
   void CountRepeat(monotonic_time now);
+  // Repeats that the budget allows in a window with the current requests, and
+  // how many of them are left.
+  double allowance() const;
+  double left(monotonic_time now);
+  time_span window() const { return settings_.window; }
 
   int requests() const { return requests_; }
   int repeats() const { return repeats_; }
--- a/servers/scheduling/slot_request.h
+++ b/servers/scheduling/slot_request.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 
@@ -40,6 +41,9 @@
   time_span goal{0};      // Response time goal, counted from the arrival.
   monotonic_time arrival;
   monotonic_time deadline;  // Later responses are useless to the caller.
+  // How long the caller will wait, counted from the arrival, if it stated it.
+  // Unlike the deadline it does not depend on the route.
+  std::optional<time_span> stated_limit;
 };
 
 }  // namespace papayakeel
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -87,6 +87,12 @@
 constexpr time_span kMinRetryAfter = std::chrono::milliseconds(100);
 constexpr time_span kMaxRetryAfter = std::chrono::milliseconds(3000);
 
+// Bounds of the Retry-After time while endpoints refuse although they have free
+// slots. Waiting does not help these callers; the time only spreads them. The
+// minimum lets the owner tell a return from a first try (return_estimate).
+constexpr time_span kMinReturnTime = std::chrono::milliseconds(5);
+constexpr time_span kMaxReturnTime = std::chrono::milliseconds(15);
+
 // Base of the Retry-After time without a usable endpoint. Endpoint lists change
 // within about this time.
 constexpr time_span kNoEndpointRetryAfter = std::chrono::milliseconds(500);
@@ -173,20 +179,22 @@
   request_record& record = entry->second;
   record.request = request;
   record.attempts = request.earlier_attempts;
+  record.is_return =
+      returns_[request.work_class].AddRequest(request.stated_limit, now);
   estimates_.try_emplace(request.work_class, FirstEstimate(request));
   const bool is_repeat = record.attempts > 0;
   if (record.attempts >= request.max_attempts ||
       (is_repeat && !repeats_.CanRepeat(now))) {
     return Reject(request.key, slot_refusal::kAttemptsFailed,
-                  RetryAfter(request, time_span(0), now));
+                  RetryAfter(request, time_span(0), now), now);
   }
   if (!HasUsableEndpoint()) {
     return Reject(request.key, slot_refusal::kNoEndpoint,
-                  RetryAfter(request, kNoEndpointRetryAfter, now));
+                  RetryAfter(request, kNoEndpointRetryAfter, now), now);
   }
   const time_span left = request.deadline - now;
   if (left <= Scale(UsualWork(request), kMinWorkBeforeDeadline))
-    return Reject(request.key, slot_refusal::kDeadline, time_span(0));
+    return Reject(request.key, slot_refusal::kDeadline, time_span(0), now);
   if (is_repeat)
     ReserveRepeat(record, now);
   Enqueue(record, false, now);
@@ -194,7 +202,7 @@
   const time_span wait = ExpectedWait(position, now);
   if (position.tier == kLateTier && wait > Scale(left, kMaxLateWaitShare)) {
     return Reject(request.key, slot_refusal::kOverload,
-                  RetryAfter(request, wait, now));
+                  RetryAfter(request, wait, now), now);
   }
   PlaceWaitingRequests(now);
 }
@@ -234,9 +242,17 @@
   const time_span work = UsualWork(record.request);
   const auto endpoint = endpoints_.find(running->second.endpoint_id);
   record.running.erase(running);
+  const bool is_unrelated_to_load = IsUnrelatedToLoad(outcome, load);
+  refusals_.AddAttempt(outcome, is_unrelated_to_load, now);
   if (endpoint != endpoints_.end()) {
     const std::optional<endpoint_slots::ended_attempt> ended =
-        endpoint->second.End(attempt, outcome, now);
+        endpoint->second.End(
+            attempt,
+            is_unrelated_to_load ? attempt_outcome::kCancelled : outcome, now);
+    if (outcome != attempt_outcome::kCancelled) {
+      endpoint->second.RecordRefusal(is_unrelated_to_load, refusals_.share(now),
+                                     now);
+    }
     if (load)
       endpoint->second.ApplyLoad(*load, now);
     if (ended && outcome == attempt_outcome::kAnswered) {
@@ -258,13 +274,14 @@
   const bool was_sent = outcome != attempt_outcome::kUnreachable;
   const bool is_allowed = may_try_again &&
                           record.attempts < record.request.max_attempts &&
-                          (!was_sent || repeats_.CanRepeat(now));
+                          (!was_sent || MayRetry(record, now));
   if (!is_allowed) {
-    const time_span retry_after = RetryAfter(record.request, time_span(0), now);
-    Reject(key, slot_refusal::kAttemptsFailed, retry_after);
+    Reject(key, slot_refusal::kAttemptsFailed,
+           RetryAfterFailure(record.request, outcome, now), now);
     PlaceWaitingRequests(now);
     return;
   }
+  counters_.return_retries += record.is_return ? 1 : 0;
   ReserveRepeat(record, now);
   Dequeue(record);
   Enqueue(record, false, now);
@@ -532,15 +549,33 @@
   record.has_reserved_repeat = true;
 }
 
+bool slot_scheduler::MayRetry(const request_record& record,
+                              monotonic_time now) {
+  const slot_request& request = record.request;
+  const bool is_last_chance =
+      record.is_return || !returns_[request.work_class].DoCallersReturn(now);
+  const bool is_admitted =
+      allocation_.Admit({is_last_chance, request.importance}, Budget(now), now);
+  if (!is_admitted && repeats_.CanRepeat(now))
+    ++counters_.withheld_retries;
+  return is_admitted;
+}
+
+repeat_budget slot_scheduler::Budget(monotonic_time now) {
+  return {repeats_.left(now), repeats_.allowance(), repeats_.window()};
+}
+
 void slot_scheduler::Reject(const request_key& key,
                             slot_refusal reason,
-                            time_span retry_after) {
+                            time_span retry_after,
+                            monotonic_time now) {
   const auto found = requests_.find(key);
   if (found == requests_.end())
     return;
   Dequeue(found->second);
   hedges_due_.erase({found->second.hedge_at, key});
   const std::string caller_id = found->second.request.caller_id;
+  returns_[found->second.request.work_class].AddFailure(now);
   requests_.erase(found);
   ++counters_.rejections;
   hooks_.reject({key, caller_id, reason, retry_after});
@@ -584,7 +619,8 @@
     if (record.is_waiting || record.running.size() != 1)
       continue;
     // A hedge is queued only while no other request waits.
-    if (waiting_.empty() && HasIdleCapacity(now) && repeats_.CanRepeat(now)) {
+    if (waiting_.empty() && HasIdleCapacity(now) &&
+        allocation_.MayHedge(Budget(now), now)) {
       Enqueue(record, true, now);
       continue;
     }
@@ -635,7 +671,7 @@
     if (record.running.empty()) {
       const time_span retry_after =
           RetryAfter(record.request, kNoEndpointRetryAfter, now);
-      Reject(key, slot_refusal::kOverload, retry_after);
+      Reject(key, slot_refusal::kOverload, retry_after, now);
     } else {
       Dequeue(record);
     }
@@ -730,6 +766,18 @@
       {delay, kMaxRetryAfter, std::max(accepted_delay, kMinRetryAfter)});
 }
 
+time_span slot_scheduler::RetryAfterFailure(const slot_request& request,
+                                            attempt_outcome outcome,
+                                            monotonic_time now) {
+  const bool is_waiting_useless = outcome == attempt_outcome::kRejected &&
+                                  refusals_.AreMostUnrelatedToLoad(now) &&
+                                  HasFreeSlot(now);
+  if (!is_waiting_useless)
+    return RetryAfter(request, time_span(0), now);
+  return kMinReturnTime +
+         Scale(kMaxReturnTime - kMinReturnTime, UniformUnit(random_));
+}
+
 bool slot_scheduler::HasIdleCapacity(monotonic_time now) const {
   int usable = 0;
   int empty = 0;
@@ -747,6 +795,15 @@
                      [](const auto& each) { return each.second.IsUsable(); });
 }
 
+bool slot_scheduler::HasFreeSlot(monotonic_time now) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(),
+                     [now](const auto& each) {
+                       const endpoint_slots& endpoint = each.second;
+                       return endpoint.IsUsable() && !endpoint.IsEjected(now) &&
+                              endpoint.FreeSlots(now) > 0;
+                     });
+}
+
 time_span slot_scheduler::UsualWork(const slot_request& request) const {
   const auto found = estimates_.find(request.work_class);
   if (found != estimates_.end())
@@ -810,7 +867,9 @@
             {"hedges", counters_.hedges},
             {"retries", counters_.retries},
             {"probes", counters_.probes},
-            {"rejections", counters_.rejections}}}};
+            {"rejections", counters_.rejections},
+            {"return_retries", counters_.return_retries},
+            {"withheld_retries", counters_.withheld_retries}}}};
 }
 
 }  // namespace papayakeel
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -19,6 +19,9 @@
 
 #include "core/random_source.h"
 #include "servers/scheduling/endpoint_slots.h"
+#include "servers/scheduling/refusal_estimate.h"
+#include "servers/scheduling/repeat_allocation.h"
+#include "servers/scheduling/return_estimate.h"
 #include "servers/scheduling/slot_hooks.h"
 #include "servers/scheduling/slot_settings.h"
 #include "servers/scheduling/work_estimate.h"
@@ -32,6 +35,10 @@
   std::uint64_t retries = 0;
   std::uint64_t probes = 0;
   std::uint64_t rejections = 0;
+  // Retries for requests whose callers had tried before.
+  std::uint64_t return_retries = 0;
+  // Retries that the budget allowed but that were kept for such requests.
+  std::uint64_t withheld_retries = 0;
 };
 
 class slot_scheduler {
@@ -119,6 +126,7 @@
     monotonic_time hedge_at;           // When a hedge is due.
     bool has_reserved_repeat = false;  // The next repeat is already counted.
     bool may_have_run = false;
+    bool is_return = false;  // The caller has tried before.
   };
   // Sort key of the queue.
   struct queue_key {
@@ -168,9 +176,13 @@
              endpoint_slots& endpoint,
              monotonic_time now);
   void ReserveRepeat(request_record& record, monotonic_time now);
+  // Whether the budget may be used for a retry after a failed attempt.
+  bool MayRetry(const request_record& record, monotonic_time now);
+  repeat_budget Budget(monotonic_time now);
   void Reject(const request_key& key,
               slot_refusal reason,
-              time_span retry_after);
+              time_span retry_after,
+              monotonic_time now);
   void Enqueue(request_record& record, bool is_hedge, monotonic_time now);
   void Dequeue(request_record& record);
   void CheckHedges(monotonic_time now);
@@ -192,9 +204,14 @@
   time_span RetryAfter(const slot_request& request,
                        time_span wait,
                        monotonic_time now);
+  // Retry-After of a request whose attempt ended with `outcome`.
+  time_span RetryAfterFailure(const slot_request& request,
+                              attempt_outcome outcome,
+                              monotonic_time now);
   // Whether enough endpoints are idle for hedges.
   bool HasIdleCapacity(monotonic_time now) const;
   bool HasUsableEndpoint() const;
+  bool HasFreeSlot(monotonic_time now) const;
   time_span UsualWork(const slot_request& request) const;
   void ScheduleWakeUp(monotonic_time due);
 
@@ -219,6 +236,9 @@
   double late_rate_ = 0;
   monotonic_time late_rate_updated_at_;
   repeat_window repeats_;
+  repeat_allocation allocation_;
+  std::map<std::string, return_estimate> returns_;  // By work class.
+  refusal_estimate refusals_;
   std::uint64_t next_attempt_;
   std::optional<monotonic_time> wake_at_;
   monotonic_time last_sweep_;
--- a/tests/servers/scheduling/refusing_service.cc
+++ b/tests/servers/scheduling/refusing_service.cc
@@ -183,6 +183,7 @@
     request.goal = kind.goal;
     request.arrival = now_;
     request.deadline = now_ + std::min(left, kind.route_timeout);
+    request.stated_limit = std::chrono::duration_cast<milliseconds>(left);
     open_try attempt;
     attempt.caller = caller;
     attempt.shard = generator_() % owners_.size();
@@ -193,7 +194,8 @@
       CountRequest();
       owners_[shard]->Submit(request, now_);
     });
-    After(request.deadline - now_, [this, key = request.key] { OnTimeout(key); });
+    After(request.deadline - now_,
+          [this, key = request.key] { OnTimeout(key); });
   }
 
   void EndCaller(simulated_caller& caller, int kind_result::*count) {
@@ -213,7 +215,7 @@
     tries_.erase(found);
     const caller_kind& kind = service_.kinds[caller->kind];
     const time_span left = caller->arrived + kind.limit - now_;
-    const time_span delay = caller->is_impatient ? kImpatientDelay
+    const time_span delay = caller->is_impatient      ? kImpatientDelay
                             : retry_after <= left / 3 ? retry_after
                                                       : time_span(0);
     if (caller->tries_left == 0)
@@ -348,10 +350,9 @@
         times.pop_front();
       return static_cast<double>(times.size());
     };
-    result_.budget_excess =
-        std::max(result_.budget_excess,
-                 expire(repeats_) - kBudgetRatio * expire(requests_) -
-                     kBudgetSlack);
+    result_.budget_excess = std::max(
+        result_.budget_excess,
+        expire(repeats_) - kBudgetRatio * expire(requests_) - kBudgetSlack);
   }
 
   const refusing_service service_;
