Tell the owner the caller's own limit, and pass on its Retry-After

The deadline that an owner knows is often that of the route, so that it cannot tell a first try from a return. The submit message gets the limit that the caller states (format version 3). The holder raised every Retry-After to 200 ms and rounded it to 10 ms; the time of the owner now reaches the caller. The counters of retries for returns and of withheld retries become metrics.

Tests: round trip and range of the limit; a daemon whose endpoints refuse with free slots answers with a Retry-After of at most 15 ms.

--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -320,9 +320,10 @@
         ParseInteger(ToStringView(limit->value()));
     if (!left || *left < 0)
       return std::nullopt;
-    plan.deadline = std::min(
-        plan.deadline, request.arrival + std::chrono::milliseconds(std::min(
-                                             *left, kMaxCallerTimeoutMs)));
+    plan.stated_limit =
+        std::chrono::milliseconds(std::min(*left, kMaxCallerTimeoutMs));
+    plan.deadline =
+        std::min(plan.deadline, request.arrival + *plan.stated_limit);
   }
   plan.service = split_.Next(matched);
   return plan;
@@ -503,6 +504,14 @@
                static_cast<double>(slots.probes));
   sink.Counter("papayakeel_slot_rejections_total", "Requests rejected as owner",
                {}, static_cast<double>(slots.rejections));
+  sink.Counter("papayakeel_return_retries_total",
+               "Retries granted as owner to requests whose callers had tried "
+               "before",
+               {}, static_cast<double>(slots.return_retries));
+  sink.Counter("papayakeel_withheld_retries_total",
+               "Retries not granted as owner to keep the budget for other "
+               "requests",
+               {}, static_cast<double>(slots.withheld_retries));
   sink.Counter("papayakeel_endpoints_announced_leaving_total",
                "Endpoints that announced their leaving in an answer", {},
                static_cast<double>(services_.slots->announced_leavings()));
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -18,8 +18,8 @@
 // This allowance after the deadline lets that response arrive.
 constexpr time_span kTimeoutResponseAllowance = std::chrono::milliseconds(60);
 
-// Minimum Retry-After for a rejected request, also used if no slot was granted
-// before the deadline.
+// Retry-After of a refused request for which the owner gave no time, for
+// example if no slot was granted before the deadline.
 constexpr time_span kDeadlineRetryAfter = std::chrono::milliseconds(200);
 
 // Another entry VM can serve the request at once.
@@ -27,7 +27,7 @@
 
 std::string FormatSeconds(time_span span) {
   char text[32];
-  std::snprintf(text, sizeof(text), "%.2f", ToMilliseconds(span) / 1000);
+  std::snprintf(text, sizeof(text), "%.3f", ToMilliseconds(span) / 1000);
   return text;
 }
 
@@ -82,6 +82,7 @@
   wanted.goal = plan_.goal;
   wanted.arrival = request_.arrival;
   wanted.deadline = plan_.deadline;
+  wanted.stated_limit = plan_.stated_limit;
   slot_client_hooks hooks;
   hooks.granted = [self = shared_from_this()](const slot_grant& grant) {
     self->OnGranted(grant);
@@ -187,7 +188,8 @@
   is_rejected_ = true;
   if (is_ended_ || !attempts_.empty())
     return;
-  Conclude(std::max(rejection.retry_after, kDeadlineRetryAfter),
+  Conclude(rejection.retry_after > time_span(0) ? rejection.retry_after
+                                                : kDeadlineRetryAfter,
            ToString(rejection.reason));
 }
 
--- a/modules/entry_gateway/request_run.h
+++ b/modules/entry_gateway/request_run.h
@@ -42,6 +42,8 @@
   int max_attempts = 1;
   // The earlier of the route's timeout and the caller's time limit.
   monotonic_time deadline;
+  // The caller's time limit alone, if it stated one.
+  std::optional<time_span> stated_limit;
   std::uint64_t state_version = 0;
 };
 
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -669,6 +669,8 @@
     sum.retries += each.retries;
     sum.probes += each.probes;
     sum.rejections += each.rejections;
+    sum.return_retries += each.return_retries;
+    sum.withheld_retries += each.withheld_retries;
   }
   return sum;
 }
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -15,7 +15,9 @@
 using nlohmann::json;
 
 // Incremented when the layout changes. Other versions are rejected.
-constexpr int kFormatVersion = 2;
+constexpr int kFormatVersion = 3;
+// Longest limit that a caller may state.
+constexpr std::chrono::microseconds kMaxStatedLimit = std::chrono::minutes(10);
 constexpr int kLastType = static_cast<int>(slot_message_type::kCancel);
 constexpr int kLastReason = static_cast<int>(slot_refusal::kAttemptsFailed);
 constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kCancelled);
@@ -34,7 +36,18 @@
        request.importance, request.may_repeat, request.max_attempts,
        request.earlier_attempts, request.bytes, Microseconds(request.goal),
        Microseconds(now - request.arrival),
-       Microseconds(request.deadline - now), request.was_counted});
+       Microseconds(request.deadline - now), request.was_counted,
+       request.stated_limit ? json(Microseconds(*request.stated_limit))
+                            : json(nullptr)});
+}
+
+std::optional<time_span> DecodeStatedLimit(const json& value) {
+  if (value.is_null())
+    return std::nullopt;
+  const std::chrono::microseconds limit(value.get<std::int64_t>());
+  if (limit < std::chrono::microseconds(0) || limit > kMaxStatedLimit)
+    throw json::out_of_range::create(401, "stated limit", nullptr);
+  return limit;
 }
 
 void DecodeRequest(const json& fields,
@@ -52,6 +65,7 @@
   request.arrival = now - FromMicroseconds(fields.at(9));
   request.deadline = now + FromMicroseconds(fields.at(10));
   request.was_counted = fields.at(11).get<bool>();
+  request.stated_limit = DecodeStatedLimit(fields.at(12));
 }
 
 service_shard DecodeShard(const json& fields) {
--- a/tests/modules/slot_link/slot_message_test.cc
+++ b/tests/modules/slot_link/slot_message_test.cc
@@ -42,6 +42,7 @@
   slot_message submit = MakeMessage(slot_message_type::kSubmit);
   submit.request.arrival = sender - milliseconds(20);
   submit.request.deadline = sender + milliseconds(1500);
+  submit.request.stated_limit = milliseconds(2500);
   const slot_message decoded =
       *DecodeSlotMessage(EncodeSlotMessage(submit, sender), receiver);
   CHECK(decoded.request.key == submit.request.key);
@@ -49,6 +50,10 @@
   CHECK(decoded.request.deadline == receiver + milliseconds(1500));
   CHECK(decoded.request.arrival == receiver - milliseconds(20));
   LONGS_EQUAL(1, decoded.request.earlier_attempts);
+  CHECK(decoded.request.stated_limit == milliseconds(2500));
+  submit.request.stated_limit.reset();
+  CHECK_FALSE(DecodeSlotMessage(EncodeSlotMessage(submit, sender), receiver)
+                  ->request.stated_limit.has_value());
 
   const slot_message report = *DecodeSlotMessage(
       EncodeSlotMessage(MakeMessage(slot_message_type::kReport), sender),
@@ -86,6 +91,22 @@
   }
 }
 
+// Guards against stated limits that no caller can have stated, among them some
+// that would overflow a time.
+TEST(slot_message, RejectsAStatedLimitOutOfRange) {
+  const monotonic_time now{};
+  slot_message submit = MakeMessage(slot_message_type::kSubmit);
+  submit.request.stated_limit = milliseconds(600'000);
+  CHECK(DecodeSlotMessage(EncodeSlotMessage(submit, now), now).has_value());
+  for (const time_span limit :
+       {time_span(milliseconds(600'001)), time_span(milliseconds(-1)),
+        time_span::max(), time_span::min()}) {
+    submit.request.stated_limit = limit;
+    CHECK_FALSE(
+        DecodeSlotMessage(EncodeSlotMessage(submit, now), now).has_value());
+  }
+}
+
 // Guards against foreign and truncated datagrams that crash the process or are
 // accepted as messages.
 TEST(slot_message, RejectsForeignAndTruncatedDatagrams) {
--- a/tests/platform/process/platform_path_test.cc
+++ b/tests/platform/process/platform_path_test.cc
@@ -218,6 +218,24 @@
   LONGS_EQUAL(before, site.RunsOn(0));
 }
 
+// Guards against a caller that is told to wait although the endpoints, which
+// refuse its request, have free slots.
+TEST(platform_path, RefusalWithFreeSlotsLetsTheCallerReturnAtOnce) {
+  Start(3, 1, milliseconds(5));
+  for (std::size_t endpoint = 0; endpoint < 3; ++endpoint)
+    site.Reject(endpoint);
+  for (const http::verb method : {http::verb::get, http::verb::post}) {
+    const bool is_get = method == http::verb::get;
+    const std::optional<http_response> answer =
+        Call(0, method, is_get ? "/look/1" : "/book/1", NewId());
+    CHECK(answer.has_value());
+    LONGS_EQUAL(503, answer->result_int());
+    const double retry_after = std::stod(std::string((*answer)["Retry-After"]));
+    CHECK(retry_after > 0);
+    CHECK(retry_after <= 0.015);
+  }
+}
+
 // Guards against once-only requests that are sent to further endpoints after
 // their caller has left: only what an endpoint may have begun goes on.
 TEST(platform_path, NothingIsSentAfterTheCallerHasLeft) {
