Keep the repeat budget for returns that are to be expected

At the start of a burst the first tries used a quarter of the budget before the first returns were counted. A claim of a first try now also counts the callers that will return, by the share of attempts that are refused. A refusal without a report is judged by a recent one.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -245,6 +245,11 @@
   }
 }
 
+std::optional<endpoint_load> endpoint_slots::RecentLoad(
+    monotonic_time now) const {
+  return ReportAge(now) <= kMaxSlotReportAge ? load_ : std::nullopt;
+}
+
 time_span endpoint_slots::ReportAge(monotonic_time now) const {
   return load_ ? now - load_received_at_ : time_span::max() / 2;
 }
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -90,6 +90,8 @@
   // Applies a load report that came with a response.
   void ApplyLoad(const endpoint_load& load, monotonic_time now);
 
+  // The newest report, unless it is too old to tell which slots are free.
+  std::optional<endpoint_load> RecentLoad(monotonic_time now) const;
   // Age of the newest report.
   time_span ReportAge(monotonic_time now) const;
 
--- a/servers/scheduling/refusal_estimate.h
+++ b/servers/scheduling/refusal_estimate.h
@@ -29,7 +29,9 @@
   bool AreMostUnrelatedToLoad(monotonic_time now) const;
 
  private:
-  static constexpr time_span kTimeConstant = std::chrono::seconds(1);
+  // Short, so that a burst is recognised before it has used much of the repeat
+  // budget.
+  static constexpr time_span kTimeConstant = std::chrono::milliseconds(250);
 
   decaying_count attempts_{kTimeConstant};
   decaying_count refusals_{kTimeConstant};
--- a/servers/scheduling/repeat_allocation.cc
+++ b/servers/scheduling/repeat_allocation.cc
@@ -23,20 +23,27 @@
   const claim_rank rank{claim.importance, claim.is_last_chance ? 0 : 1};
   const auto entry = claims_.try_emplace(rank, kRateTimeConstant).first;
   entry->second.Add(now);
-  return budget.left >= 1 + Reserve(entry, budget, now);
+  // The callers that get no repeat now fail again before their returns are
+  // counted. Without this estimate, the first tries used a quarter of the
+  // budget in the first 0.6 s of a burst.
+  const double returning_rate =
+      claim.is_last_chance ? 0 : entry->second.Rate(now) * claim.refused_share;
+  return budget.left >= 1 + Reserve(entry, budget, returning_rate, now);
 }
 
 bool repeat_allocation::MayHedge(const repeat_budget& budget,
                                  monotonic_time now) const {
-  return budget.left >= 1 + Reserve(claims_.end(), budget, now);
+  return budget.left >= 1 + Reserve(claims_.end(), budget, 0, now);
 }
 
 double repeat_allocation::Reserve(rank_counts::const_iterator end,
                                   const repeat_budget& budget,
+                                  double min_rate,
                                   monotonic_time now) const {
   double rate = 0;
   for (auto each = claims_.begin(); each != end; ++each)
     rate += each->second.Rate(now);
+  rate = std::max(rate, min_rate);
   // The claims of a window beyond what the budget allows in it can only be met
   // from what is left now.
   const double expected = rate * ToMilliseconds(budget.window) / 1000;
--- a/servers/scheduling/repeat_allocation.h
+++ b/servers/scheduling/repeat_allocation.h
@@ -17,6 +17,9 @@
   // The caller has tried before, or callers of its kind do not try again.
   bool is_last_chance = false;
   int importance = 0;  // 0 is the highest importance.
+  // Share of the attempts of the service that are refused. If the claim is not
+  // admitted, its caller returns and fails again with this probability.
+  double refused_share = 0;
 };
 
 // Repeats that the budget allows.
@@ -42,9 +45,11 @@
   using claim_rank = std::pair<int, int>;
   using rank_counts = std::map<claim_rank, decaying_count>;
 
-  // Repeats to keep for the claims in `claims_` before `end`.
+  // Repeats to keep for the claims in `claims_` before `end`. Their rate is
+  // taken to be at least `min_rate`, per second.
   double Reserve(rank_counts::const_iterator end,
                  const repeat_budget& budget,
+                 double min_rate,
                  monotonic_time now) const;
 
   rank_counts claims_;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -83,8 +83,10 @@
 // Assumed ratio of 1.7 before the first response.
 constexpr time_span kInitialContendedRatio = std::chrono::milliseconds(1700);
 
-// Bounds of the Retry-After time of a rejected request.
-constexpr time_span kMinRetryAfter = std::chrono::milliseconds(100);
+// Bounds of the Retry-After time of a rejected request. With a minimum of 100
+// ms, 0.79 instead of 0.81 of the callers of a service at 3.5 times its usual
+// demand were served.
+constexpr time_span kMinRetryAfter = std::chrono::milliseconds(200);
 constexpr time_span kMaxRetryAfter = std::chrono::milliseconds(3000);
 
 // Bounds of the Retry-After time while endpoints refuse although they have free
@@ -242,7 +244,10 @@
   const time_span work = UsualWork(record.request);
   const auto endpoint = endpoints_.find(running->second.endpoint_id);
   record.running.erase(running);
-  const bool is_unrelated_to_load = IsUnrelatedToLoad(outcome, load);
+  const bool is_unrelated_to_load =
+      IsUnrelatedToLoad(outcome, load || endpoint == endpoints_.end()
+                                     ? load
+                                     : endpoint->second.RecentLoad(now));
   refusals_.AddAttempt(outcome, is_unrelated_to_load, now);
   if (endpoint != endpoints_.end()) {
     const std::optional<endpoint_slots::ended_attempt> ended =
@@ -554,8 +559,9 @@
   const slot_request& request = record.request;
   const bool is_last_chance =
       record.is_return || !returns_[request.work_class].DoCallersReturn(now);
-  const bool is_admitted =
-      allocation_.Admit({is_last_chance, request.importance}, Budget(now), now);
+  const bool is_admitted = allocation_.Admit(
+      {is_last_chance, request.importance, refusals_.share(now)}, Budget(now),
+      now);
   if (!is_admitted && repeats_.CanRepeat(now))
     ++counters_.withheld_retries;
   return is_admitted;
