Test single decisions on refusals, and state where the budget falls short

A refusal with a free slot and one without lead to different Retry-After times; the last repeats go to callers that returned.

--- a/tests/servers/scheduling/refusing_service.cc
+++ b/tests/servers/scheduling/refusing_service.cc
@@ -67,7 +67,7 @@
  public:
   explicit service_run(const refusing_service& service)
       : service_(service), generator_(service.seed) {
-    const std::size_t shards = ShardCount(service.endpoints);
+    const std::uint32_t shards = ShardCount(service.endpoints);
     slot_settings settings;
     settings.service = "lookups";
     settings.repeats = {kBudgetRatio, kBudgetWindow,
--- a/tests/servers/scheduling/slot_scheduler_test.cc
+++ b/tests/servers/scheduling/slot_scheduler_test.cc
@@ -124,6 +124,57 @@
   CHECK(run.grants[0].endpoint.id != run.grants[1].endpoint.id);
 }
 
+// Guards against a caller that is told to wait although its endpoints have free
+// slots, and against callers that all return at once to a full service.
+TEST(slot_scheduler, FreeSlotsDecideWhenACallerReturns) {
+  const endpoint_load free{0, 0, 2, 1};
+  const endpoint_load full{2, 0, 2, 1};
+  for (const bool is_full : {false, true}) {
+    scheduler_harness run;
+    run.SetEndpoints(4);
+    slot_request request = run.MakeRequest(1, false);
+    request.max_attempts = 1;
+    run.scheduler().Submit(request, run.now);
+    run.RunFor(milliseconds(100));
+    run.scheduler().Report(run.grants[0].request, run.grants[0].attempt,
+                           attempt_outcome::kRejected, is_full ? full : free,
+                           run.now);
+    LONGS_EQUAL(1, run.rejections.size());
+    CHECK(run.rejections[0].retry_after >= milliseconds(is_full ? 200 : 5));
+    CHECK(run.rejections[0].retry_after <= milliseconds(is_full ? 400 : 15));
+  }
+}
+
+// Guards against repeats that go to first tries while callers that have tried
+// before need them.
+TEST(slot_scheduler, CallersThatReturnedGetTheLastRepeats) {
+  scheduler_harness run;
+  run.SetEndpoints(40);
+  const endpoint_load free{0, 0, 2, 1};
+  const std::uint64_t requests = 30;
+  for (std::uint64_t number = 1; number <= requests; ++number) {
+    slot_request request = run.MakeRequest(number, false);
+    request.stated_limit = milliseconds(number % 2 == 1 ? 1500 : 1450);
+    run.scheduler().Submit(request, run.now);
+  }
+  run.RunFor(milliseconds(150));
+  const std::vector<slot_grant> first = run.grants;
+  for (const slot_grant& grant : first) {
+    run.scheduler().Report(grant.request, grant.attempt,
+                           attempt_outcome::kRejected, free, run.now);
+  }
+  run.RunFor(milliseconds(150));
+  // The budget is 0.8 x 0.2 per request and 5 in addition. The first claim of a
+  // first try meets no other claim.
+  int first_tries = 0;
+  for (std::size_t index = first.size(); index < run.grants.size(); ++index)
+    first_tries += run.grants[index].request.number % 2 == 1 ? 1 : 0;
+  CHECK(run.grants.size() - first.size() >= 8);
+  CHECK(first_tries <= 1);
+  LONGS_EQUAL(run.grants.size() - first.size() - first_tries,
+              run.scheduler().counters().return_retries);
+}
+
 // Guards against exceeding the retry budget when many attempts fail at the same
 // time. All would pass the budget check if repeats were counted only at their
 // grant.
