Keep no repeats for returns that cannot be recognised

With callers of one route that have limits of 1.5 s and 1 s, a smaller limit is no sign of a return.

--- a/servers/scheduling/repeat_allocation.h
+++ b/servers/scheduling/repeat_allocation.h
@@ -14,7 +14,7 @@
 
 // Wish to repeat a request whose attempt failed.
 struct repeat_claim {
-  // The caller has tried before, or callers of its kind do not try again.
+  // The caller has tried before, or it is not known who has (return_estimate).
   bool is_last_chance = false;
   int importance = 0;  // 0 is the highest importance.
   // Share of the attempts of the service that are refused. If the claim is not
--- a/servers/scheduling/return_estimate.cc
+++ b/servers/scheduling/return_estimate.cc
@@ -40,7 +40,9 @@
   return IsReliable(now);
 }
 
-bool return_estimate::DoCallersReturn(monotonic_time now) const {
+bool return_estimate::CanTellReturns(monotonic_time now) const {
+  if (!IsReliable(now))
+    return false;
   const double failures = failures_.Value(now);
   return failures < kMinFailures ||
          returns_.Value(now) >= kMinReturnShare * failures;
--- a/servers/scheduling/return_estimate.h
+++ b/servers/scheduling/return_estimate.h
@@ -18,9 +18,10 @@
   // Adds a request that failed, so that its caller may return.
   void AddFailure(monotonic_time now) { failures_.Add(now); }
 
-  // Whether callers return after a failure. True until enough failures are
-  // known.
-  bool DoCallersReturn(monotonic_time now) const;
+  // Whether callers return after a failure and their returns can be told from
+  // first tries. True until enough is known. Otherwise nothing may be kept for
+  // returns, because no request would be recognised as one.
+  bool CanTellReturns(monotonic_time now) const;
 
  private:
   void UpdateMaximum(time_span stated_limit, monotonic_time now);
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -558,7 +558,7 @@
                               monotonic_time now) {
   const slot_request& request = record.request;
   const bool is_last_chance =
-      record.is_return || !returns_[request.work_class].DoCallersReturn(now);
+      record.is_return || !returns_[request.work_class].CanTellReturns(now);
   const bool is_admitted = allocation_.Admit(
       {is_last_chance, request.importance, refusals_.share(now)}, Budget(now),
       now);
--- a/tests/servers/scheduling/refusing_service_test.cc
+++ b/tests/servers/scheduling/refusing_service_test.cc
@@ -53,6 +53,19 @@
   CheckBudget(result);
 }
 
+// Guards against repeats that are kept for returns although returns cannot be
+// told from first tries: callers of the same route have different limits.
+TEST(refusing_service, CallersWithDifferentLimits) {
+  refusing_service service;
+  service.kinds[0].requests_per_second = 250;
+  service.kinds.push_back(service.kinds[0]);
+  service.kinds[1].limit = milliseconds(1000);
+  const refusing_service_result result = RunRefusingService(service);
+  for (const kind_result& kind : result.kinds)
+    CHECK(kind.ServedShare() >= 0.77);
+  CheckBudget(result);
+}
+
 // Guards against once-only requests, refused as not run, that get no repeats.
 TEST(refusing_service, OnceOnlyRequests) {
   refusing_service service;
--- a/tests/servers/scheduling/return_estimate_test.cc
+++ b/tests/servers/scheduling/return_estimate_test.cc
@@ -33,6 +33,7 @@
     recognised += estimate.AddRequest(milliseconds(700), now) ? 1 : 0;
   }
   CHECK(recognised <= 20);
+  CHECK_FALSE(estimate.CanTellReturns(now));
   for (int index = 0; index < 200; ++index)
     estimate.AddFailure(now);
   CHECK(estimate.AddRequest(milliseconds(700), now));
@@ -55,14 +56,14 @@
 TEST(return_estimate, NoticesThatCallersDoNotReturn) {
   return_estimate estimate;
   const monotonic_time now{seconds(100)};
-  CHECK(estimate.DoCallersReturn(now));
+  CHECK(estimate.CanTellReturns(now));
   for (int index = 0; index < 40; ++index)
     estimate.AddFailure(now);
-  CHECK_FALSE(estimate.DoCallersReturn(now));
+  CHECK_FALSE(estimate.CanTellReturns(now));
   estimate.AddRequest(milliseconds(1500), now);
   for (int index = 0; index < 20; ++index)
     estimate.AddRequest(milliseconds(1400), now);
-  CHECK(estimate.DoCallersReturn(now));
+  CHECK(estimate.CanTellReturns(now));
 }
 
 }  // namespace papayakeel
