--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -723,6 +723,8 @@
     sum.probes += each.probes;
     sum.rejections += each.rejections;
     sum.warm_up_deferrals += each.warm_up_deferrals;
+    sum.return_retries += each.return_retries;
+    sum.withheld_retries += each.withheld_retries;
   }
   return sum;
 }
