--- /dev/null
+++ b/servers/scheduling/contention_model.cc
@@ -0,0 +1,91 @@
+// Estimates of the ratio of elapsed to usual time by share of slots in use.
+#include "servers/scheduling/contention_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace papayakeel {
+
+namespace {
+
+// Quantile of the ratios at a level. Long requests and slow phases that began
+// before the start raise the mean, and they hardly move this quantile.
+constexpr double kQuantile = 0.4;
+
+// Step of the estimate for the first sample and for later ones. The slowdown is
+// a property of the service and rarely changes.
+constexpr double kFirstStep = 0.4;
+constexpr double kMinStep = 0.03;
+constexpr double kStepDecay = 0.1;
+
+// Assumed slowdown in the last of several slots before the first response.
+constexpr double kInitialLastSlotFactor = 1.7;
+constexpr double kMaxFactor = 2.5;
+
+// Slowdowns up to this one are within the noise of the estimates.
+constexpr double kNegligibleFactor = 1.2;
+
+}  // namespace
+
+contention_model::contention_model() {
+  levels_[kLevels].log_ratio = std::log(kInitialLastSlotFactor);
+  UpdateFactors();
+}
+
+void contention_model::level::Add(double log_sample) {
+  const double step =
+      std::max(kMinStep, kFirstStep / (1 + kStepDecay * samples));
+  log_ratio += step * (log_sample > log_ratio ? kQuantile : kQuantile - 1);
+  ++samples;
+}
+
+int contention_model::LevelOf(int used, int slots) {
+  if (used >= slots)
+    return kLevels;
+  return std::clamp((used * kLevels + slots / 2) / slots, 0, kLevels - 1);
+}
+
+void contention_model::Add(int used, int slots, double ratio) {
+  if (slots <= 1 || ratio <= 0)
+    return;
+  const int index = LevelOf(used, slots);
+  level& sampled = used <= 1 || index <= kLevels / 2 ? base_ : levels_[index];
+  sampled.Add(std::log(ratio));
+  UpdateFactors();
+}
+
+void contention_model::UpdateFactors() {
+  for (int index = 0; index <= kLevels; ++index) {
+    const double factor =
+        index <= kLevels / 2
+            ? 1
+            : std::exp(levels_[index].log_ratio - base_.log_ratio);
+    factors_[index] = std::clamp(factor, 1.0, kMaxFactor);
+  }
+}
+
+double contention_model::Factor(int used, int slots) const {
+  return used <= 1 ? 1 : factors_[LevelOf(used, slots)];
+}
+
+bool contention_model::IsContended(int used, int slots) const {
+  return Factor(used, slots) > kNegligibleFactor;
+}
+
+int contention_model::UncontendedSlots(int slots) const {
+  int uncontended = std::min(slots, 1);
+  while (uncontended < slots && !IsContended(uncontended + 1, slots))
+    ++uncontended;
+  return uncontended;
+}
+
+int contention_model::UsefulSlots(int slots) const {
+  int best = slots;
+  for (int used = slots - 1; used >= 1; --used) {
+    if (used * Factor(best, slots) > best * Factor(used, slots))
+      best = used;
+  }
+  return best;
+}
+
+}  // namespace papayakeel
--- /dev/null
+++ b/servers/scheduling/contention_model.h
@@ -0,0 +1,57 @@
+// Slowdown of work under contention as a function of the share of an
+// endpoint's slots in use when the work starts. One model for all endpoints of
+// a service, whatever their number of slots.
+#ifndef SERVERS_SCHEDULING_CONTENTION_MODEL_H_
+#define SERVERS_SCHEDULING_CONTENTION_MODEL_H_
+
+#include <array>
+
+namespace papayakeel {
+
+class contention_model {
+ public:
+  contention_model();
+
+  // Adds an answered attempt that started at the usual speed of its endpoint
+  // as number `used` of `slots` slots. `ratio` is its elapsed time relative to
+  // the usual time of its work.
+  void Add(int used, int slots, double ratio);
+
+  // Slowdown of work that starts as number `used` of `slots` slots, relative to
+  // work on an endpoint with at most half of its slots in use. At least 1.
+  double Factor(int used, int slots) const;
+
+  // Whether work that starts there takes so much longer that it is no sample
+  // of the usual time and a wait for another slot may pay.
+  bool IsContended(int used, int slots) const;
+
+  // Number of slots of an endpoint that can be used without contention.
+  int UncontendedSlots(int slots) const;
+
+  // Number of slots in use with the highest throughput. An endpoint that is
+  // kept at `n` slots in use starts all its work at the speed of slot `n`.
+  int UsefulSlots(int slots) const;
+
+ private:
+  // Shares are rounded to twelfths, which tell all slots apart on endpoints
+  // with two, three, four or six slots.
+  static constexpr int kLevels = 12;
+
+  // A quantile of the logarithm of the ratios at one level.
+  struct level {
+    double log_ratio = 0;
+    int samples = 0;
+    void Add(double log_sample);
+  };
+
+  static int LevelOf(int used, int slots);
+  void UpdateFactors();
+
+  level base_;  // Of all levels up to one half.
+  std::array<level, kLevels + 1> levels_;
+  std::array<double, kLevels + 1> factors_;  // 1 <= factor; 1 up to one half.
+};
+
+}  // namespace papayakeel
+
+#endif  // SERVERS_SCHEDULING_CONTENTION_MODEL_H_
