Learn contention by share of slots, and compare stragglers with the service

Cause: on endpoints with six slots at half load 0.84 of all starts took the fifth or sixth slot, of which only the last was known to be contended, and one long request made its endpoint a straggler, so that all endpoints counted as slow and requests were held for half a second. Change: contention_model, straggler_detector; starts in contended slots do not enter the estimate of the work, and slow starts enter it without the reported slowdown.

--- a/servers/scheduling/contention_model.cc
+++ b/servers/scheduling/contention_model.cc
@@ -18,8 +18,11 @@
 constexpr double kMinStep = 0.03;
 constexpr double kStepDecay = 0.1;
 
-// Assumed slowdown in the last of several slots before the first response.
-constexpr double kInitialLastSlotFactor = 1.7;
+// Assumed slowdown above this share of the slots before the first response. A
+// service that starts at full load has no starts without contention to compare
+// with, and it would take the slow starts for the usual ones.
+constexpr double kInitialFactor = 1.7;
+constexpr double kInitialContendedShare = 0.8;
 constexpr double kMaxFactor = 2.5;
 
 // Slowdowns up to this one are within the noise of the estimates.
@@ -28,7 +31,10 @@
 }  // namespace
 
 contention_model::contention_model() {
-  levels_[kLevels].log_ratio = std::log(kInitialLastSlotFactor);
+  for (int index = 0; index <= kLevels; ++index) {
+    if (index > kInitialContendedShare * kLevels)
+      levels_[index].log_ratio = std::log(kInitialFactor);
+  }
   UpdateFactors();
 }
 
@@ -48,9 +54,10 @@
 void contention_model::Add(int used, int slots, double ratio) {
   if (slots <= 1 || ratio <= 0)
     return;
-  const int index = LevelOf(used, slots);
-  level& sampled = used <= 1 || index <= kLevels / 2 ? base_ : levels_[index];
-  sampled.Add(std::log(ratio));
+  if (!IsContended(used, slots))
+    base_.Add(std::log(ratio));
+  if (used > 1)
+    levels_[LevelOf(used, slots)].Add(std::log(ratio));
   UpdateFactors();
 }
 
--- a/servers/scheduling/contention_model.h
+++ b/servers/scheduling/contention_model.h
@@ -18,7 +18,7 @@
   void Add(int used, int slots, double ratio);
 
   // Slowdown of work that starts as number `used` of `slots` slots, relative to
-  // work on an endpoint with at most half of its slots in use. At least 1.
+  // work that starts without contention. At least 1.
   double Factor(int used, int slots) const;
 
   // Whether work that starts there takes so much longer that it is no sample
@@ -47,9 +47,9 @@
   static int LevelOf(int used, int slots);
   void UpdateFactors();
 
-  level base_;  // Of all levels up to one half.
+  level base_;  // Of all starts without contention.
   std::array<level, kLevels + 1> levels_;
-  std::array<double, kLevels + 1> factors_;  // 1 <= factor; 1 up to one half.
+  std::array<double, kLevels + 1> factors_;  // 1 <= each; 1 up to one half.
 };
 
 }  // namespace papayakeel
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -27,20 +27,16 @@
 // long: four consecutive slow phases are rare.
 constexpr time_span kMaxSlowPhase = std::chrono::milliseconds(600);
 
-// Ratio of elapsed to expected time that is normal variation between attempts.
-constexpr double kNormalVariation = 1.6;
-
 // Older reports are not used to count the slots in use.
 constexpr time_span kMaxSlotReportAge = std::chrono::milliseconds(60);
 
+// A status check may overtake an attempt that was granted up to this long
+// before it, because the attempt goes through the VM that holds the request.
+constexpr time_span kMaxGrantTransit = std::chrono::milliseconds(12);
+
 // Work takes about twice as long on an endpoint that has just started.
 constexpr double kColdStartFactor = 2.0;
 
-// Time constant of the decay of an observed slowdown.
-constexpr time_span kObservedSlowdownTimeConstant = std::chrono::seconds(2);
-constexpr double kObservedSlowdownWeight = 0.5;
-constexpr double kMaxSlowdown = 20;
-
 // Weight of the newest attempt in the failure rate.
 constexpr double kFailureWeight = 0.2;
 // Cost of a failure in units of the expected time, because the request has to
@@ -65,18 +61,18 @@
 // a new owner allows one check every 40 ms.
 constexpr time_span kMaxFirstReportWait = std::chrono::milliseconds(40);
 
-// Ratio of elapsed to expected time above which an attempt is a straggler.
-constexpr double kStragglerRatio = 2.5;
-
 }  // namespace
 
 endpoint_slots::endpoint_slots(endpoint_entry entry,
                                double probes_per_second,
+                               service_performance* service,
                                monotonic_time now)
     : entry_(std::move(entry)),
       warm_up_ends_at_(now + entry_.warm_up_left),
       probe_budget_(probes_per_second, kProbeBurst, std::chrono::seconds(1)),
-      added_at_(now) {
+      added_at_(now),
+      service_(service),
+      stragglers_(&service->stragglers) {
   probe_budget_.Accrue(now);
 }
 
@@ -90,7 +86,7 @@
     return;
   consecutive_failures_ = 0;
   failure_rate_ = 0;
-  observed_slowdown_ = 1;
+  stragglers_.Reset();
   ejected_until_ = {};
   load_.reset();
 }
@@ -100,10 +96,15 @@
       now - load_received_at_ > kMaxSlotReportAge)
     return in_flight();
   int started_since = 0;
-  for (const auto& [id, attempt] : running_)
+  bool may_miss_attempt = false;
+  for (const auto& [id, attempt] : running_) {
     started_since += attempt.started >= load_requested_at_ ? 1 : 0;
+    may_miss_attempt |= attempt.started < load_requested_at_ &&
+                        load_requested_at_ - attempt.started < kMaxGrantTransit;
+  }
   const int reported = load_->running + load_->waiting - ended_since_load_;
-  return std::max(reported, 0) + started_since;
+  const int busy = std::max(reported, 0) + started_since;
+  return may_miss_attempt ? std::max(busy, in_flight()) : busy;
 }
 
 int endpoint_slots::FreeSlots(monotonic_time now) const {
@@ -113,30 +114,34 @@
   return std::max(0, slots - BusySlots(now));
 }
 
+int endpoint_slots::UncontendedFreeSlots(monotonic_time now) const {
+  const int uncontended =
+      service_->contention.UncontendedSlots(entry_.slots) - BusySlots(now);
+  return std::clamp(uncontended, 0, FreeSlots(now));
+}
+
 void endpoint_slots::Start(std::uint64_t attempt,
                            time_span work,
-                           double contention_factor,
                            monotonic_time now) {
   const endpoint_forecast forecast = Forecast(now);
   running_attempt started;
   started.started = now;
-  started.has_last_slot = forecast.is_nearly_full;
+  started.start.used_slots = BusySlots(now) + 1;
+  started.start.slots = entry_.slots;
+  started.start.was_contended = forecast.is_contended;
   // Without reports, slow phases are included in the usual time.
-  started.is_at_usual_speed =
-      !load_ ||
-      (forecast.has_fresh_report && forecast.slowdown <= kSlowReportThreshold);
-  const double expected_factor =
-      forecast.slowdown * (forecast.is_nearly_full ? contention_factor : 1);
+  if (!load_) {
+    started.start.reported_slowdown = 1;
+  } else if (forecast.has_fresh_report) {
+    started.start.reported_slowdown = std::max(load_->slowdown, 0.1);
+  }
   started.expected =
-      std::max(FromMilliseconds(ToMilliseconds(work) * expected_factor),
+      std::max(FromMilliseconds(ToMilliseconds(work) * forecast.slowdown *
+                                forecast.contention),
                time_span(std::chrono::milliseconds(1)));
   running_[attempt] = started;
 }
 
-bool endpoint_slots::IsNearlyFull(monotonic_time now) const {
-  return entry_.slots > 1 && BusySlots(now) + 1 >= entry_.slots;
-}
-
 std::optional<endpoint_slots::ended_attempt> endpoint_slots::End(
     std::uint64_t attempt,
     attempt_outcome outcome,
@@ -144,9 +149,10 @@
   const auto found = running_.find(attempt);
   if (found == running_.end())
     return std::nullopt;
+  CountSlowAttempts(now);
   const running_attempt run = found->second;
-  const ended_attempt ended{now - run.started, run.has_last_slot,
-                            run.is_at_usual_speed};
+  ended_attempt ended = run.start;
+  ended.elapsed = now - run.started;
   if (run.started < load_requested_at_)
     ++ended_since_load_;
   running_.erase(found);
@@ -160,19 +166,11 @@
     OnFailure(outcome, now);
     return ended;
   }
-  // A cancelled attempt would have taken at least this long.
-  const double ratio =
-      ToMilliseconds(ended.elapsed) / ToMilliseconds(run.expected);
-  if (outcome == attempt_outcome::kCancelled && ratio < kStragglerRatio)
+  if (outcome == attempt_outcome::kCancelled)
     return ended;
-  if (outcome == attempt_outcome::kAnswered)
-    consecutive_failures_ = 0;
-  const double observed =
-      std::clamp(ratio / kNormalVariation, 1.0, kMaxSlowdown);
-  observed_slowdown_ = StragglerSlowdown(now);
-  observed_slowdown_ +=
-      kObservedSlowdownWeight * (observed - observed_slowdown_);
-  observed_at_ = now;
+  consecutive_failures_ = 0;
+  if (!run.is_counted)
+    stragglers_.Count(Ratio(run, now), now);
   return ended;
 }
 
@@ -238,18 +236,31 @@
   return load_ ? now - load_received_at_ : time_span::max() / 2;
 }
 
+double endpoint_slots::Ratio(const running_attempt& attempt,
+                             monotonic_time now) {
+  return ToMilliseconds(now - attempt.started) /
+         ToMilliseconds(attempt.expected);
+}
+
 double endpoint_slots::StragglerSlowdown(monotonic_time now) const {
-  const double decay = std::exp(-ToMilliseconds(now - observed_at_) /
-                                ToMilliseconds(kObservedSlowdownTimeConstant));
-  double slowdown = 1 + (observed_slowdown_ - 1) * decay;
+  int overdue = 0;
+  double largest = 1;
   for (const auto& [id, attempt] : running_) {
-    const double ratio = ToMilliseconds(now - attempt.started) /
-                         ToMilliseconds(attempt.expected);
-    if (ratio > kStragglerRatio)
-      slowdown =
-          std::max(slowdown, std::min(ratio / kNormalVariation, kMaxSlowdown));
+    const double ratio = Ratio(attempt, now);
+    overdue += !attempt.is_counted && straggler_detector::IsSlow(ratio) ? 1 : 0;
+    largest = std::max(largest, ratio);
+  }
+  return stragglers_.Slowdown(overdue, largest, now);
+}
+
+void endpoint_slots::CountSlowAttempts(monotonic_time now) {
+  for (auto& [id, attempt] : running_) {
+    const double ratio = Ratio(attempt, now);
+    if (attempt.is_counted || !straggler_detector::IsSlow(ratio))
+      continue;
+    attempt.is_counted = true;
+    stragglers_.Count(ratio, now);
   }
-  return slowdown;
 }
 
 endpoint_forecast endpoint_slots::Forecast(monotonic_time now) const {
@@ -264,11 +275,19 @@
   const double reported = load_ ? std::max(load_->slowdown, 0.1) : usual;
   forecast.slowdown = decay * reported + (1 - decay) * usual;
   forecast.is_in_slow_phase = slow_since_ && now - *slow_since_ < kMaxSlowPhase;
+  const double straggler_slowdown = StragglerSlowdown(now);
+  forecast.is_straggler = straggler_slowdown > 1;
+  forecast.is_reported_slow = load_ && ReportAge(now) <= kSlowPhaseLength &&
+                              load_->slowdown > kSlowReportThreshold;
   forecast.multiplier =
-      StragglerSlowdown(now) * (1 + kFailureCostFactor * failure_rate_);
+      straggler_slowdown * (1 + kFailureCostFactor * failure_rate_);
   if (now < warm_up_ends_at_)
     forecast.multiplier *= kColdStartFactor;
-  forecast.is_nearly_full = IsNearlyFull(now);
+  const int used = BusySlots(now) + 1;
+  const contention_model& contention = service_->contention;
+  forecast.contention = contention.Factor(used, entry_.slots);
+  forecast.is_contended = contention.IsContended(used, entry_.slots);
+  forecast.is_beyond_useful = used > contention.UsefulSlots(entry_.slots);
   forecast.has_fresh_report = ReportAge(now) <= kMaxFreshReportAge;
   forecast.is_probing = IsProbing();
   forecast.is_probe_answer_expected =
@@ -276,12 +295,12 @@
   return forecast;
 }
 
-time_span endpoint_forecast::ExpectedTime(time_span work,
-                                          double contention_factor) const {
-  double expected = ToMilliseconds(work) * slowdown;
-  if (is_nearly_full)
-    expected *= contention_factor;
-  return FromMilliseconds(expected * multiplier);
+time_span endpoint_forecast::ExpectedTime(time_span work) const {
+  return FromMilliseconds(ToMilliseconds(UncontendedTime(work)) * contention);
+}
+
+time_span endpoint_forecast::UncontendedTime(time_span work) const {
+  return FromMilliseconds(ToMilliseconds(work) * slowdown * multiplier);
 }
 
 }  // namespace papayakeel
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -11,6 +11,7 @@
 #include "core/token_bucket.h"
 #include "servers/discovery/endpoint_entry.h"
 #include "servers/scheduling/attempt_outcome.h"
+#include "servers/scheduling/service_performance.h"
 
 namespace papayakeel {
 
@@ -23,22 +24,29 @@
   double multiplier = 1;  // Penalty for cold start, stragglers or failures.
   bool is_awaiting_first_report = false;  // New endpoint without a report.
   bool is_in_slow_phase = false;          // Reported slow for a short time.
-  bool is_nearly_full = false;    // The next attempt takes the last slot.
+  bool is_reported_slow = false;          // By a report of the last slow phase.
+  bool is_straggler = false;              // Slower than it reports.
+  double contention = 1;   // Slowdown by the slots in use at the start.
+  bool is_contended = false;  // The next attempt takes a contended slot.
+  // The next attempt takes a slot that lowers the endpoint's throughput.
+  bool is_beyond_useful = false;
   bool has_fresh_report = false;  // The newest report is recent.
   bool is_probing = false;
   // A probe was sent a short time ago; its answer is expected soon.
   bool is_probe_answer_expected = false;
 
   // Returns the expected time of work that usually takes `work`.
-  // `contention_factor` is the slowdown under contention of work that takes the
-  // last slot.
-  time_span ExpectedTime(time_span work, double contention_factor) const;
+  time_span ExpectedTime(time_span work) const;
+  // The same if the endpoint had no other work.
+  time_span UncontendedTime(time_span work) const;
 };
 
 class endpoint_slots {
  public:
+  // `service` must outlive the object.
   endpoint_slots(endpoint_entry entry,
                  double probes_per_second,
+                 service_performance* service,
                  monotonic_time now);
 
   // Applies a changed entry. A restart of the endpoint clears its failures.
@@ -56,20 +64,20 @@
   // flight from this scheduler when there is none.
   int BusySlots(monotonic_time now) const;
   int FreeSlots(monotonic_time now) const;
+  // Free slots that the next attempts can take without contention.
+  int UncontendedFreeSlots(monotonic_time now) const;
 
   // Adds an attempt. `work` is its time on an endpoint at the usual speed with
-  // free slots, `contention_factor` its slowdown under contention in the last
-  // slot.
-  void Start(std::uint64_t attempt,
-             time_span work,
-             double contention_factor,
-             monotonic_time now);
+  // free slots.
+  void Start(std::uint64_t attempt, time_span work, monotonic_time now);
   struct ended_attempt {
     time_span elapsed{0};
-    bool had_last_slot = false;  // It took the last slot.
-    // At the start of the attempt the endpoint had recently reported its usual
-    // speed, or it had no report.
-    bool was_at_usual_speed = false;
+    int used_slots = 1;  // Slots in use after the start, of `slots`.
+    int slots = 1;
+    bool was_contended = false;  // At its start, as far as was known then.
+    // Slowdown that the endpoint had recently reported when the attempt
+    // started; 1 without any report, nullopt if the report was too old.
+    std::optional<double> reported_slowdown;
   };
   // Ends an attempt. Returns nullopt for an unknown attempt.
   std::optional<ended_attempt> End(std::uint64_t attempt,
@@ -88,9 +96,6 @@
   // Age of the newest report.
   time_span ReportAge(monotonic_time now) const;
 
-  // Whether the next attempt would take the last of several slots.
-  bool IsNearlyFull(monotonic_time now) const;
-
   // Expected performance of an attempt that starts now.
   endpoint_forecast Forecast(monotonic_time now) const;
 
@@ -98,11 +103,15 @@
   struct running_attempt {
     monotonic_time started;
     time_span expected{1};  // By reports and contention.
-    bool has_last_slot = false;
-    bool is_at_usual_speed = false;
+    ended_attempt start;    // `elapsed` is 0.
+    bool is_counted = false;  // By the straggler detector.
   };
 
+  // Elapsed time of a running attempt relative to its expected time.
+  static double Ratio(const running_attempt& attempt, monotonic_time now);
   double StragglerSlowdown(monotonic_time now) const;
+  // Counts the running attempts that are slow by now.
+  void CountSlowAttempts(monotonic_time now);
   void RecordLoad(const endpoint_load& load, monotonic_time now);
   void OnFailure(attempt_outcome outcome, monotonic_time now);
 
@@ -125,10 +134,8 @@
   token_bucket probe_budget_;
   monotonic_time added_at_;
 
-  // Observed response time relative to the expected time, which includes the
-  // reported slowdown; 1 is normal.
-  double observed_slowdown_ = 1;
-  monotonic_time observed_at_;
+  service_performance* service_;
+  straggler_detector stragglers_;
   double failure_rate_ = 0;  // Moving average over attempts, 0 to 1.
   int consecutive_failures_ = 0;
   monotonic_time ejected_until_;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -71,17 +71,13 @@
 // Callers accept a Retry-After of up to a third of their remaining time.
 constexpr int kRetryAfterDivisor = 3;
 
-// Bounds of the slowdown under contention of work that takes the last slot of
-// an endpoint.
-constexpr double kMinContentionFactor = 1.05;
-constexpr double kMaxContentionFactor = 2.5;
-// Time span that represents a ratio of 1 in the estimates of ratios.
-constexpr time_span kRatioUnit = std::chrono::seconds(1);
-// Weight of the newest response. It is low because the ratio is a property of
-// the service and rarely changes.
-constexpr double kRatioWeight = 0.015;
-// Assumed ratio of 1.7 before the first response.
-constexpr time_span kInitialContendedRatio = std::chrono::milliseconds(1700);
+// One grant in this many may take a slot that lowers the throughput of its
+// endpoint. Otherwise the slowdown in such a slot would not be learned.
+constexpr int kGrantsPerExploration = 50;
+
+// The first waiting request takes a contended slot when the expected wait of
+// the whole queue exceeds this share of the time that contention would add.
+constexpr double kContendedWaitShare = 0.5;
 
 // Bounds of the Retry-After time of a rejected request.
 constexpr time_span kMinRetryAfter = std::chrono::milliseconds(100);
@@ -104,14 +100,10 @@
 constexpr time_span kSweepInterval = std::chrono::milliseconds(250);
 
 // Slowdown under contention that is assumed in the check whether a request can
-// meet its goal in the last slot of an endpoint. It is low because the other
-// attempts on the endpoint end earlier.
+// meet its goal in a contended slot. It is low because the other attempts on
+// the endpoint end earlier.
 constexpr double kOptimisticContentionFactor = 1.2;
 
-// Below this slowdown under contention any request may take the last slot of an
-// endpoint, because the slot adds enough throughput.
-constexpr double kNegligibleContentionFactor = 1.35;
-
 // Tiers of the queue.
 constexpr int kOnTimeTier = 0;
 constexpr int kLateTier = 1;
@@ -135,8 +127,6 @@
       hooks_(std::move(hooks)),
       random_(std::move(random)),
       holding_time_(std::chrono::milliseconds(150)),
-      uncontended_ratio_(kRatioUnit, kRatioWeight),
-      contended_ratio_(kInitialContendedRatio, kRatioWeight),
       repeats_(settings_.repeats),
       // Attempt numbers of different owners must not collide.
       next_attempt_(random_() >> 8) {}
@@ -150,7 +140,8 @@
     if (found != endpoints_.end()) {
       found->second.Update(entry, now);
     } else {
-      endpoints_.try_emplace(entry.id, entry, settings_.probes_per_second, now);
+      endpoints_.try_emplace(entry.id, entry, settings_.probes_per_second,
+                             &performance_, now);
     }
   }
   for (auto each = endpoints_.begin(); each != endpoints_.end();) {
@@ -212,7 +203,7 @@
   const auto endpoint = endpoints_.find(endpoint_id);
   if (endpoint == endpoints_.end())
     return;
-  endpoint->second.Start(attempt, UsualWork(request), ContentionFactor(), now);
+  endpoint->second.Start(attempt, UsualWork(request), now);
   record.running[attempt] = {endpoint_id, false};
   record.tried_endpoints.insert(endpoint_id);
   // The end of the attempt may never be reported.
@@ -241,7 +232,7 @@
       endpoint->second.ApplyLoad(*load, now);
     if (ended && outcome == attempt_outcome::kAnswered) {
       holding_time_.Add(ended->elapsed);
-      if (ended->was_at_usual_speed)
+      if (ended->reported_slowdown)
         UpdateWorkEstimate(record.request.work_class, work, *ended);
     }
   }
@@ -275,16 +266,16 @@
     const std::string& work_class,
     time_span work,
     const endpoint_slots::ended_attempt& ended) {
-  const double ratio =
-      ToMilliseconds(ended.elapsed) / std::max(ToMilliseconds(work), 1.0);
-  if (ended.had_last_slot) {
-    contended_ratio_.Add(Scale(kRatioUnit, ratio));
-    return;
+  const double slowdown = *ended.reported_slowdown;
+  const time_span elapsed = Scale(ended.elapsed, 1 / slowdown);
+  if (slowdown <= kFastEndpointFactor) {
+    performance_.contention.Add(
+        ended.used_slots, ended.slots,
+        ToMilliseconds(elapsed) / std::max(ToMilliseconds(work), 1.0));
   }
-  uncontended_ratio_.Add(Scale(kRatioUnit, ratio));
   const auto estimate = estimates_.find(work_class);
-  if (estimate != estimates_.end())
-    estimate->second.Add(ended.elapsed);
+  if (!ended.was_contended && estimate != estimates_.end())
+    estimate->second.Add(elapsed);
 }
 
 void slot_scheduler::Cancel(const request_key& key, monotonic_time now) {
@@ -383,21 +374,16 @@
                                   monotonic_time now) {
   if (record.wants_hedge && !repeats_.CanRepeat(now))
     return false;
-  const double contention_factor = ContentionFactor();
   std::vector<std::pair<time_span, std::size_t>> choices;
   for (std::size_t index = 0; index < free.size(); ++index) {
     const candidate& each = free[index];
     const bool is_tried =
         record.tried_endpoints.count(each.endpoint->entry().id) > 0;
-    // While earlier requests wait for an empty endpoint, a request in the last
-    // slot of an endpoint would make both requests there late.
     const bool is_allowed =
-        !each.forecast.is_nearly_full ||
-        contention_factor < kNegligibleContentionFactor ||
-        (is_first && CanTakeLastSlot(record, each.forecast, now));
+        !each.forecast.is_contended ||
+        (is_first && MayTakeContendedSlot(record, each.forecast, now));
     if (!is_tried && is_allowed)
-      choices.emplace_back(PlacementCost(record, each, contention_factor),
-                           index);
+      choices.emplace_back(PlacementCost(record, each), index);
   }
   if (choices.empty())
     return false;
@@ -409,7 +395,7 @@
   const endpoint_forecast& forecast = free[best].forecast;
   const time_span work = UsualWork(record.request);
   const bool is_fast =
-      forecast.ExpectedTime(work, 1) <= Scale(work, kFastEndpointFactor);
+      forecast.UncontendedTime(work) <= Scale(work, kFastEndpointFactor);
   if (!forecast.has_fresh_report || !is_fast) {
     const bool is_probe_pending = ProbeCandidates(choices, free, now);
     if (forecast.is_probe_answer_expected ||
@@ -443,7 +429,7 @@
     // An attempt runs at the speed of its start. If it starts in a slow phase,
     // it occupies its slot for several times the usual time. The phase ends
     // earlier unless the work is short.
-    const time_span excess_time = forecast.ExpectedTime(work, 1) - work;
+    const time_span excess_time = forecast.UncontendedTime(work) - work;
     return excess_time > kRemainingSlowPhase;
   }
   // All probed endpoints are slow. Waiting is useful while the request can meet
@@ -455,10 +441,8 @@
 }
 
 time_span slot_scheduler::PlacementCost(const request_record& record,
-                                        const candidate& choice,
-                                        double contention_factor) const {
-  time_span cost = choice.forecast.ExpectedTime(UsualWork(record.request),
-                                                contention_factor);
+                                        const candidate& choice) const {
+  time_span cost = choice.forecast.ExpectedTime(UsualWork(record.request));
   if (choice.endpoint->entry().availability_zone !=
       record.request.availability_zone) {
     cost += kZoneCost + kZoneCostPerKilobyte *
@@ -512,7 +496,10 @@
   record.running[attempt] = {endpoint.entry().id, is_hedge};
   record.tried_endpoints.insert(endpoint.entry().id);
   const time_span work = UsualWork(record.request);
-  endpoint.Start(attempt, work, ContentionFactor(), now);
+  grants_since_exploration_ = endpoint.Forecast(now).is_beyond_useful
+                                  ? 0
+                                  : grants_since_exploration_ + 1;
+  endpoint.Start(attempt, work, now);
   if (record.request.may_repeat && !is_hedge &&
       record.attempts < record.request.max_attempts) {
     hedges_due_.erase({record.hedge_at, record.request.key});
@@ -653,15 +640,10 @@
     late_ahead += other.tier == kLateTier ? 1 : 0;
   }
   int free = 0;
-  const bool can_take_last_slots =
-      ContentionFactor() < kNegligibleContentionFactor;
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint.IsUsable() || endpoint.IsEjected(now))
       continue;
-    const int free_slots = endpoint.FreeSlots(now);
-    free += can_take_last_slots
-                ? free_slots
-                : std::min(free_slots, endpoint.IsNearlyFull(now) ? 0 : 1);
+    free += endpoint.UncontendedFreeSlots(now);
   }
   if (ahead < free)
     return time_span(0);
@@ -691,22 +673,23 @@
          Scale(UsualWork(request), kGoalMarginFactor);
 }
 
-double slot_scheduler::ContentionFactor() const {
-  const double ratio =
-      ToMilliseconds(contended_ratio_.usual()) /
-      std::max(ToMilliseconds(uncontended_ratio_.usual()), 1.0);
-  return std::clamp(ratio, kMinContentionFactor, kMaxContentionFactor);
-}
-
-bool slot_scheduler::CanTakeLastSlot(const request_record& record,
-                                     const endpoint_forecast& forecast,
-                                     monotonic_time now) const {
+bool slot_scheduler::MayTakeContendedSlot(const request_record& record,
+                                          const endpoint_forecast& forecast,
+                                          monotonic_time now) {
   if (record.wants_hedge)
     return false;
   const slot_request& request = record.request;
+  const time_span work = UsualWork(request);
   const time_span expected =
-      forecast.ExpectedTime(UsualWork(request), kOptimisticContentionFactor);
-  return now + expected <= request.arrival + request.goal;
+      Scale(forecast.UncontendedTime(work), kOptimisticContentionFactor);
+  if (now + expected > request.arrival + request.goal)
+    return false;
+  if (forecast.is_beyond_useful)
+    return grants_since_exploration_ >= kGrantsPerExploration;
+  const double queue_wait_ms =
+      1000 * static_cast<double>(waiting_.size()) / ServiceRate();
+  const time_span excess = Scale(work, forecast.contention - 1);
+  return queue_wait_ms > kContendedWaitShare * ToMilliseconds(excess);
 }
 
 void slot_scheduler::RecordLateStart(monotonic_time now) {
@@ -763,13 +746,13 @@
   summary sum;
   sum.requests = requests_.size();
   sum.waiting = waiting_.size();
-  sum.contention_factor = ContentionFactor();
   sum.mean_holding_time = holding_time_.mean();
   for (const auto& [id, endpoint] : endpoints_) {
     sum.attempts_in_flight += endpoint.in_flight();
     if (!endpoint.IsUsable())
       continue;
     ++sum.usable_endpoints;
+    sum.slots = std::max(sum.slots, endpoint.entry().slots);
     if (endpoint.IsEjected(now)) {
       ++sum.ejected_endpoints;
       continue;
@@ -778,11 +761,17 @@
       continue;
     ++sum.free_endpoints;
     sum.idle_endpoints += endpoint.BusySlots(now) == 0 ? 1 : 0;
-    const time_span work = holding_time_.usual();
-    const bool is_slow = endpoint.Forecast(now).ExpectedTime(work, 1) >
-                         Scale(work, kFastEndpointFactor);
-    sum.slow_endpoints += is_slow ? 1 : 0;
-  }
+    const endpoint_forecast forecast = endpoint.Forecast(now);
+    sum.stragglers += forecast.is_straggler ? 1 : 0;
+    sum.slow_endpoints += forecast.is_reported_slow ||
+                                  forecast.multiplier > kFastEndpointFactor
+                              ? 1
+                              : 0;
+  }
+  const contention_model& contention = performance_.contention;
+  sum.contention_factor = contention.Factor(sum.slots, sum.slots);
+  sum.uncontended_slots = contention.UncontendedSlots(sum.slots);
+  sum.useful_slots = contention.UsefulSlots(sum.slots);
   for (const auto& [work_class, estimate] : estimates_)
     sum.usual_work[work_class] = estimate.usual();
   return sum;
@@ -800,7 +789,7 @@
   return {{"waiting", waiting_.size()},
           {"requests", requests_.size()},
           {"mean_holding_ms", ToMilliseconds(holding_time_.mean())},
-          {"crowding", ContentionFactor()},
+          {"crowding", Summarize(now).contention_factor},
           {"repeats_in_window", repeats_.repeats()},
           {"requests_in_window", repeats_.requests()},
           {"endpoints", endpoints},
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -19,6 +19,7 @@
 
 #include "core/random_source.h"
 #include "servers/scheduling/endpoint_slots.h"
+#include "servers/scheduling/service_performance.h"
 #include "servers/scheduling/slot_hooks.h"
 #include "servers/scheduling/slot_settings.h"
 #include "servers/scheduling/work_estimate.h"
@@ -96,7 +97,11 @@
     int idle_endpoints = 0;  // Free endpoints with all slots free.
     int slow_endpoints = 0;  // Free endpoints with a high expected time.
     int attempts_in_flight = 0;
-    double contention_factor = 1;
+    double contention_factor = 1;  // In the last of the usual slots.
+    int slots = 0;                 // Largest number of slots of an endpoint.
+    int uncontended_slots = 0;     // Of these, usable without contention.
+    int useful_slots = 0;          // Of these, usable at full throughput.
+    int stragglers = 0;            // Slower than they report.
     time_span mean_holding_time{0};
     std::map<std::string, time_span> usual_work;  // By work class.
   };
@@ -156,8 +161,11 @@
                           time_span work,
                           const endpoint_slots::ended_attempt& ended);
   time_span PlacementCost(const request_record& record,
-                          const candidate& choice,
-                          double contention_factor) const;
+                          const candidate& choice) const;
+  // Whether the request, first in the queue, may take this contended slot.
+  bool MayTakeContendedSlot(const request_record& record,
+                            const endpoint_forecast& forecast,
+                            monotonic_time now);
   // Probes the endpoints with the lowest cost that have no recent report.
   // `choices` holds pairs of a cost and an index in `free`. Returns whether a
   // probe is pending.
@@ -178,16 +186,10 @@
   void UpdateWaitingRequests(monotonic_time now);
   // Expected queueing time of a request at `position`.
   time_span ExpectedWait(const queue_key& position, monotonic_time now) const;
-  // Whether the request can meet its goal in the last slot of an endpoint.
-  bool CanTakeLastSlot(const request_record& record,
-                       const endpoint_forecast& forecast,
-                       monotonic_time now) const;
   // Slots that become free per second.
   double ServiceRate() const;
   // Latest start of an attempt that can meet the goal.
   monotonic_time LatestStart(const slot_request& request) const;
-  // Slowdown under contention of work that takes the last slot of an endpoint.
-  double ContentionFactor() const;
   void RecordLateStart(monotonic_time now);
   time_span RetryAfter(const slot_request& request,
                        time_span wait,
@@ -201,6 +203,7 @@
   slot_settings settings_;
   slot_hooks hooks_;
   random_source random_;
+  service_performance performance_;
   std::map<std::string, endpoint_slots> endpoints_;  // By id.
   std::map<request_key, request_record> requests_;
   // Queue of the requests with is_waiting set.
@@ -211,10 +214,8 @@
   std::map<std::string, work_estimate> estimates_;  // By work class.
   work_estimate
       holding_time_;  // Time that attempts occupy a slot, all classes.
-  // Elapsed time relative to the usual time of the work, without contention and
-  // for attempts that took the last of several slots.
-  work_estimate uncontended_ratio_;
-  work_estimate contended_ratio_;
+  // Grants since the last one beyond the useful slots of an endpoint.
+  int grants_since_exploration_ = 0;
   // Moving average of late requests started per second.
   double late_rate_ = 0;
   monotonic_time late_rate_updated_at_;
