Take the fastest level as the reference of contention

Cause: at a steady load of 0.8 the lower levels get no samples, contended starts were taken for usual ones and raised the estimate of the work to 1.4 to 1.7 times, after which nothing showed the error. Change: the reference is the fastest level with recent samples; smaller steps.

--- a/servers/scheduling/contention_model.cc
+++ b/servers/scheduling/contention_model.cc
@@ -10,13 +10,13 @@
 
 // Quantile of the ratios at a level. Long requests and slow phases that began
 // before the start raise the mean, and they hardly move this quantile.
-constexpr double kQuantile = 0.4;
+constexpr double kQuantile = 0.5;
 
 // Step of the estimate for the first sample and for later ones. The slowdown is
 // a property of the service and rarely changes.
-constexpr double kFirstStep = 0.4;
-constexpr double kMinStep = 0.03;
-constexpr double kStepDecay = 0.1;
+constexpr double kFirstStep = 0.1;
+constexpr double kMinStep = 0.02;
+constexpr double kStepDecay = 0.05;
 
 // Assumed slowdown above this share of the slots before the first response. A
 // service that starts at full load has no starts without contention to compare
@@ -25,6 +25,11 @@
 constexpr double kInitialContendedShare = 0.8;
 constexpr double kMaxFactor = 2.5;
 
+// A level with fewer recent samples is no reference for the others: its ratios
+// may be relative to an outdated estimate of the work.
+constexpr double kMinReferenceSamples = 5;
+constexpr double kRecentSamplesDecay = 0.999;
+
 // Slowdowns up to this one are within the noise of the estimates.
 constexpr double kNegligibleFactor = 1.2;
 
@@ -43,30 +48,43 @@
       std::max(kMinStep, kFirstStep / (1 + kStepDecay * samples));
   log_ratio += step * (log_sample > log_ratio ? kQuantile : kQuantile - 1);
   ++samples;
+  ++recent_samples;
 }
 
 int contention_model::LevelOf(int used, int slots) {
   if (used >= slots)
     return kLevels;
-  return std::clamp((used * kLevels + slots / 2) / slots, 0, kLevels - 1);
+  const int rounded = (used * kLevels + slots / 2) / slots;
+  return used <= 1 ? kLevels / 2
+                   : std::clamp(rounded, kLevels / 2, kLevels - 1);
 }
 
 void contention_model::Add(int used, int slots, double ratio) {
   if (slots <= 1 || ratio <= 0)
     return;
-  if (!IsContended(used, slots))
-    base_.Add(std::log(ratio));
-  if (used > 1)
-    levels_[LevelOf(used, slots)].Add(std::log(ratio));
+  for (level& each : levels_)
+    each.recent_samples *= kRecentSamplesDecay;
+  levels_[LevelOf(used, slots)].Add(std::log(ratio));
   UpdateFactors();
 }
 
 void contention_model::UpdateFactors() {
+  // The reference is the fastest level. A fixed one would not do: at a steady
+  // high load only the upper levels get samples, and if their work was taken
+  // for usual once, only the difference between them shows the error.
+  bool has_reference = false;
+  double reference = 0;
+  for (const level& each : levels_) {
+    if (each.recent_samples < kMinReferenceSamples)
+      continue;
+    reference =
+        has_reference ? std::min(reference, each.log_ratio) : each.log_ratio;
+    has_reference = true;
+  }
   for (int index = 0; index <= kLevels; ++index) {
     const double factor =
-        index <= kLevels / 2
-            ? 1
-            : std::exp(levels_[index].log_ratio - base_.log_ratio);
+        index <= kLevels / 2 ? 1
+                             : std::exp(levels_[index].log_ratio - reference);
     factors_[index] = std::clamp(factor, 1.0, kMaxFactor);
   }
 }
--- a/servers/scheduling/contention_model.h
+++ b/servers/scheduling/contention_model.h
@@ -41,13 +41,14 @@
   struct level {
     double log_ratio = 0;
     int samples = 0;
+    double recent_samples = 0;  // Decays with each sample of any level.
     void Add(double log_sample);
   };
 
   static int LevelOf(int used, int slots);
   void UpdateFactors();
 
-  level base_;  // Of all starts without contention.
+  // Starts with at most half of the slots in use share one level.
   std::array<level, kLevels + 1> levels_;
   std::array<double, kLevels + 1> factors_;  // 1 <= each; 1 up to one half.
 };
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -73,7 +73,7 @@
 
 // One grant in this many may take a slot that lowers the throughput of its
 // endpoint. Otherwise the slowdown in such a slot would not be learned.
-constexpr int kGrantsPerExploration = 50;
+constexpr int kGrantsPerExploration = 25;
 
 // The first waiting request takes a contended slot when the expected wait of
 // the whole queue exceeds this share of the time that contention would add.
