--- a/servers/scheduling/contention_model.cc
+++ b/servers/scheduling/contention_model.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace papayakeel {
 
@@ -37,10 +38,10 @@
 
 contention_model::contention_model() {
   for (int index = 0; index <= kLevels; ++index) {
-    if (index > kInitialContendedShare * kLevels)
-      levels_[index].log_ratio = std::log(kInitialFactor);
+    factors_[index] =
+        index > kInitialContendedShare * kLevels ? kInitialFactor : 1;
+    levels_[index].log_ratio = std::log(factors_[index]);
   }
-  UpdateFactors();
 }
 
 void contention_model::level::Add(double log_sample) {
@@ -69,22 +70,25 @@
 }
 
 void contention_model::UpdateFactors() {
-  // The reference is the fastest level. A fixed one would not do: at a steady
-  // high load only the upper levels get samples, and if their work was taken
-  // for usual once, only the difference between them shows the error.
-  bool has_reference = false;
-  double reference = 0;
-  for (const level& each : levels_) {
-    if (each.recent_samples < kMinReferenceSamples)
+  // The reference is the fastest level without contention. A fixed one would
+  // not do: at a steady high load only the upper levels get samples, and if
+  // their work was taken for usual once, only the difference between them shows
+  // the error. While all starts are contended there is nothing to compare with,
+  // and the factors stay.
+  std::optional<double> reference;
+  for (int index = 0; index <= kLevels; ++index) {
+    const level& each = levels_[index];
+    if (each.recent_samples < kMinReferenceSamples ||
+        factors_[index] > kNegligibleFactor)
       continue;
-    reference =
-        has_reference ? std::min(reference, each.log_ratio) : each.log_ratio;
-    has_reference = true;
+    reference = std::min(reference.value_or(each.log_ratio), each.log_ratio);
   }
+  if (!reference)
+    return;
   for (int index = 0; index <= kLevels; ++index) {
     const double factor =
         index <= kLevels / 2 ? 1
-                             : std::exp(levels_[index].log_ratio - reference);
+                             : std::exp(levels_[index].log_ratio - *reference);
     factors_[index] = std::clamp(factor, 1.0, kMaxFactor);
   }
 }
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -128,7 +128,11 @@
   started.started = now;
   started.start.used_slots = BusySlots(now) + 1;
   started.start.slots = entry_.slots;
-  started.start.was_contended = forecast.is_contended;
+  // The last slot never counts as free of contention for the estimate of the
+  // work: at full load its samples would displace all others.
+  started.start.was_contended =
+      forecast.is_contended ||
+      (entry_.slots > 1 && started.start.used_slots >= entry_.slots);
   // Without reports, slow phases are included in the usual time.
   if (!load_) {
     started.start.reported_slowdown = 1;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -550,6 +550,7 @@
   record.is_waiting = true;
   record.wants_hedge = is_hedge;
   record.held_since.reset();
+  record.avoids_contention_since.reset();
   waiting_[position] = &record;
   queue_keys_[request.key] = position;
 }
@@ -673,7 +674,7 @@
          Scale(UsualWork(request), kGoalMarginFactor);
 }
 
-bool slot_scheduler::MayTakeContendedSlot(const request_record& record,
+bool slot_scheduler::MayTakeContendedSlot(request_record& record,
                                           const endpoint_forecast& forecast,
                                           monotonic_time now) {
   if (record.wants_hedge)
@@ -686,6 +687,10 @@
     return false;
   if (forecast.is_beyond_useful)
     return grants_since_exploration_ >= kGrantsPerExploration;
+  if (!record.avoids_contention_since)
+    record.avoids_contention_since = now;
+  if (now - *record.avoids_contention_since >= kMaxHoldTime)
+    return true;
   const double queue_wait_ms =
       1000 * static_cast<double>(waiting_.size()) / ServiceRate();
   const time_span excess = Scale(work, forecast.contention - 1);
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -121,6 +121,8 @@
     std::set<std::string> tried_endpoints;  // Endpoints that got an attempt.
     std::map<std::uint64_t, running_attempt> running;
     std::optional<monotonic_time> held_since;
+    // When the request first waited although a contended slot was free.
+    std::optional<monotonic_time> avoids_contention_since;
     monotonic_time hedge_at;           // When a hedge is due.
     bool has_reserved_repeat = false;  // The next repeat is already counted.
     bool may_have_run = false;
@@ -163,7 +165,7 @@
   time_span PlacementCost(const request_record& record,
                           const candidate& choice) const;
   // Whether the request, first in the queue, may take this contended slot.
-  bool MayTakeContendedSlot(const request_record& record,
+  bool MayTakeContendedSlot(request_record& record,
                             const endpoint_forecast& forecast,
                             monotonic_time now);
   // Probes the endpoints with the lowest cost that have no recent report.
