--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -77,7 +77,7 @@
 
 // The first waiting request takes a contended slot when the expected wait of
 // the whole queue exceeds this share of the time that contention would add.
-constexpr double kContendedWaitShare = 0.5;
+constexpr double kContendedWaitShare = 0.25;
 
 // Bounds of the Retry-After time of a rejected request.
 constexpr time_span kMinRetryAfter = std::chrono::milliseconds(100);
