Lower the cost of a pass with contention and stragglers

The uncontended slots are tabulated, a running attempt keeps the time at which it is slow, and the wait of the queue is computed once per request.

--- a/servers/scheduling/contention_model.cc
+++ b/servers/scheduling/contention_model.cc
@@ -42,6 +42,7 @@
         index > kInitialContendedShare * kLevels ? kInitialFactor : 1;
     levels_[index].log_ratio = std::log(factors_[index]);
   }
+  Tabulate();
 }
 
 void contention_model::level::Add(double log_sample) {
@@ -91,6 +92,12 @@
                              : std::exp(levels_[index].log_ratio - *reference);
     factors_[index] = std::clamp(factor, 1.0, kMaxFactor);
   }
+  Tabulate();
+}
+
+void contention_model::Tabulate() {
+  for (int slots = 0; slots <= kMaxTabulatedSlots; ++slots)
+    uncontended_slots_[slots] = CountUncontendedSlots(slots);
 }
 
 double contention_model::Factor(int used, int slots) const {
@@ -101,7 +108,7 @@
   return Factor(used, slots) > kNegligibleFactor;
 }
 
-int contention_model::UncontendedSlots(int slots) const {
+int contention_model::CountUncontendedSlots(int slots) const {
   int uncontended = std::min(slots, 1);
   while (uncontended < slots && !IsContended(uncontended + 1, slots))
     ++uncontended;
--- a/servers/scheduling/contention_model.h
+++ b/servers/scheduling/contention_model.h
@@ -26,7 +26,11 @@
   bool IsContended(int used, int slots) const;
 
   // Number of slots of an endpoint that can be used without contention.
-  int UncontendedSlots(int slots) const;
+  int UncontendedSlots(int slots) const {
+    return slots >= 0 && slots <= kMaxTabulatedSlots
+               ? uncontended_slots_[slots]
+               : CountUncontendedSlots(slots);
+  }
 
   // Number of slots in use with the highest throughput. An endpoint that is
   // kept at `n` slots in use starts all its work at the speed of slot `n`.
@@ -45,12 +49,19 @@
     void Add(double log_sample);
   };
 
+  // Schedulers ask for the uncontended slots of each endpoint several times per
+  // request, so that they are tabulated for usual numbers of slots.
+  static constexpr int kMaxTabulatedSlots = 8;
+
   static int LevelOf(int used, int slots);
+  int CountUncontendedSlots(int slots) const;
   void UpdateFactors();
+  void Tabulate();
 
   // Starts with at most half of the slots in use share one level.
   std::array<level, kLevels + 1> levels_;
   std::array<double, kLevels + 1> factors_;  // 1 <= each; 1 up to one half.
+  std::array<int, kMaxTabulatedSlots + 1> uncontended_slots_;
 };
 
 }  // namespace papayakeel
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -107,17 +107,20 @@
   return may_miss_attempt ? std::max(busy, in_flight()) : busy;
 }
 
-int endpoint_slots::FreeSlots(monotonic_time now) const {
+int endpoint_slots::UsableSlots() const {
   // A failing endpoint gets one attempt at a time until an attempt succeeds.
-  const int slots =
-      consecutive_failures_ >= kFailuresToEject ? 1 : entry_.slots;
-  return std::max(0, slots - BusySlots(now));
+  return consecutive_failures_ >= kFailuresToEject ? 1 : entry_.slots;
+}
+
+int endpoint_slots::FreeSlots(monotonic_time now) const {
+  return std::max(0, UsableSlots() - BusySlots(now));
 }
 
 int endpoint_slots::UncontendedFreeSlots(monotonic_time now) const {
   const int uncontended =
-      service_->contention.UncontendedSlots(entry_.slots) - BusySlots(now);
-  return std::clamp(uncontended, 0, FreeSlots(now));
+      std::min(UsableSlots(),
+               service_->contention.UncontendedSlots(entry_.slots));
+  return std::max(0, uncontended - BusySlots(now));
 }
 
 void endpoint_slots::Start(std::uint64_t attempt,
@@ -143,6 +146,7 @@
       std::max(FromMilliseconds(ToMilliseconds(work) * forecast.slowdown *
                                 forecast.contention),
                time_span(std::chrono::milliseconds(1)));
+  started.slow_at = now + straggler_detector::SlowAfter(started.expected);
   running_[attempt] = started;
 }
 
@@ -250,20 +254,20 @@
   int overdue = 0;
   double largest = 1;
   for (const auto& [id, attempt] : running_) {
-    const double ratio = Ratio(attempt, now);
-    overdue += !attempt.is_counted && straggler_detector::IsSlow(ratio) ? 1 : 0;
-    largest = std::max(largest, ratio);
+    if (now <= attempt.slow_at)
+      continue;
+    overdue += attempt.is_counted ? 0 : 1;
+    largest = std::max(largest, Ratio(attempt, now));
   }
   return stragglers_.Slowdown(overdue, largest, now);
 }
 
 void endpoint_slots::CountSlowAttempts(monotonic_time now) {
   for (auto& [id, attempt] : running_) {
-    const double ratio = Ratio(attempt, now);
-    if (attempt.is_counted || !straggler_detector::IsSlow(ratio))
+    if (attempt.is_counted || now <= attempt.slow_at)
       continue;
     attempt.is_counted = true;
-    stragglers_.Count(ratio, now);
+    stragglers_.Count(Ratio(attempt, now), now);
   }
 }
 
@@ -290,8 +294,9 @@
   const int used = BusySlots(now) + 1;
   const contention_model& contention = service_->contention;
   forecast.contention = contention.Factor(used, entry_.slots);
-  forecast.is_contended = contention.IsContended(used, entry_.slots);
-  forecast.is_beyond_useful = used > contention.UsefulSlots(entry_.slots);
+  forecast.is_contended = used > contention.UncontendedSlots(entry_.slots);
+  forecast.is_beyond_useful = forecast.is_contended &&
+                              used > contention.UsefulSlots(entry_.slots);
   forecast.has_fresh_report = ReportAge(now) <= kMaxFreshReportAge;
   forecast.is_probing = IsProbing();
   forecast.is_probe_answer_expected =
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -102,11 +102,13 @@
  private:
   struct running_attempt {
     monotonic_time started;
-    time_span expected{1};  // By reports and contention.
+    time_span expected{1};   // By reports and contention.
+    monotonic_time slow_at;  // When the attempt counts as slow.
     ended_attempt start;    // `elapsed` is 0.
     bool is_counted = false;  // By the straggler detector.
   };
 
+  int UsableSlots() const;
   // Elapsed time of a running attempt relative to its expected time.
   static double Ratio(const running_attempt& attempt, monotonic_time now);
   double StragglerSlowdown(monotonic_time now) const;
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -374,14 +374,20 @@
                                   monotonic_time now) {
   if (record.wants_hedge && !repeats_.CanRepeat(now))
     return false;
+  std::optional<time_span> queue_wait;
   std::vector<std::pair<time_span, std::size_t>> choices;
   for (std::size_t index = 0; index < free.size(); ++index) {
     const candidate& each = free[index];
     const bool is_tried =
         record.tried_endpoints.count(each.endpoint->entry().id) > 0;
+    if (each.forecast.is_contended && is_first && !queue_wait) {
+      queue_wait = FromMilliseconds(
+          1000 * static_cast<double>(waiting_.size()) / ServiceRate());
+    }
     const bool is_allowed =
         !each.forecast.is_contended ||
-        (is_first && MayTakeContendedSlot(record, each.forecast, now));
+        (is_first &&
+         MayTakeContendedSlot(record, each.forecast, *queue_wait, now));
     if (!is_tried && is_allowed)
       choices.emplace_back(PlacementCost(record, each), index);
   }
@@ -676,7 +682,8 @@
 
 bool slot_scheduler::MayTakeContendedSlot(request_record& record,
                                           const endpoint_forecast& forecast,
-                                          monotonic_time now) {
+                                          time_span queue_wait,
+                                          monotonic_time now) const {
   if (record.wants_hedge)
     return false;
   const slot_request& request = record.request;
@@ -691,10 +698,8 @@
     record.avoids_contention_since = now;
   if (now - *record.avoids_contention_since >= kMaxHoldTime)
     return true;
-  const double queue_wait_ms =
-      1000 * static_cast<double>(waiting_.size()) / ServiceRate();
   const time_span excess = Scale(work, forecast.contention - 1);
-  return queue_wait_ms > kContendedWaitShare * ToMilliseconds(excess);
+  return queue_wait > Scale(excess, kContendedWaitShare);
 }
 
 void slot_scheduler::RecordLateStart(monotonic_time now) {
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -165,9 +165,11 @@
   time_span PlacementCost(const request_record& record,
                           const candidate& choice) const;
   // Whether the request, first in the queue, may take this contended slot.
+  // `queue_wait` is the expected wait of all waiting requests.
   bool MayTakeContendedSlot(request_record& record,
                             const endpoint_forecast& forecast,
-                            monotonic_time now);
+                            time_span queue_wait,
+                            monotonic_time now) const;
   // Probes the endpoints with the lowest cost that have no recent report.
   // `choices` holds pairs of a cost and an index in `free`. Returns whether a
   // probe is pending.
--- a/servers/scheduling/straggler_detector.cc
+++ b/servers/scheduling/straggler_detector.cc
@@ -41,8 +41,8 @@
   normal_evidence_ = std::log((1 - kStragglerShare) / (1 - share));
 }
 
-bool straggler_detector::IsSlow(double ratio) {
-  return ratio > kSlowRatio;
+time_span straggler_detector::SlowAfter(time_span expected) {
+  return FromMilliseconds(ToMilliseconds(expected) * kSlowRatio);
 }
 
 double straggler_detector::Score(monotonic_time now) const {
@@ -53,7 +53,7 @@
 }
 
 void straggler_detector::Count(double ratio, monotonic_time now) {
-  const bool is_slow = IsSlow(ratio);
+  const bool is_slow = ratio > kSlowRatio;
   const double evidence =
       is_slow ? baseline_->slow_evidence() : baseline_->normal_evidence();
   score_ = std::clamp(Score(now) + evidence, 0.0, kMaxScore);
@@ -66,8 +66,10 @@
 double straggler_detector::Slowdown(int overdue,
                                     double largest_ratio,
                                     monotonic_time now) const {
-  const double score = Score(now) + overdue * baseline_->slow_evidence();
-  if (score < kStragglerScore)
+  const double pending = overdue * baseline_->slow_evidence();
+  // The first comparison saves the decay for most endpoints.
+  if (score_ + pending < kStragglerScore ||
+      Score(now) + pending < kStragglerScore)
     return 1;
   return std::clamp(std::max(slow_ratio_, largest_ratio) / kNormalVariation,
                     1.0, kMaxSlowdown);
--- a/servers/scheduling/straggler_detector.h
+++ b/servers/scheduling/straggler_detector.h
@@ -28,9 +28,9 @@
   explicit straggler_detector(straggler_baseline* baseline)
       : baseline_(baseline) {}
 
-  // Whether an attempt with this ratio of elapsed to expected time is slow.
-  // A running attempt counts as soon as it is slow.
-  static bool IsSlow(double ratio);
+  // Time after which an attempt with this expected time is slow. A running
+  // attempt counts as soon as it is slow.
+  static time_span SlowAfter(time_span expected);
 
   // Counts an attempt, once: when it ends, or as slow before.
   void Count(double ratio, monotonic_time now);
