--- a/servers/scheduling/contention_model.cc
+++ b/servers/scheduling/contention_model.cc
@@ -87,9 +87,9 @@
   if (!reference)
     return;
   for (int index = 0; index <= kLevels; ++index) {
-    const double factor =
-        index <= kLevels / 2 ? 1
-                             : std::exp(levels_[index].log_ratio - *reference);
+    const double factor = index <= kLevels / 2
+                              ? 1
+                              : std::exp(levels_[index].log_ratio - *reference);
     factors_[index] = std::clamp(factor, 1.0, kMaxFactor);
   }
   Tabulate();
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -117,9 +117,8 @@
 }
 
 int endpoint_slots::UncontendedFreeSlots(monotonic_time now) const {
-  const int uncontended =
-      std::min(UsableSlots(),
-               service_->contention.UncontendedSlots(entry_.slots));
+  const int uncontended = std::min(
+      UsableSlots(), service_->contention.UncontendedSlots(entry_.slots));
   return std::max(0, uncontended - BusySlots(now));
 }
 
@@ -295,8 +294,8 @@
   const contention_model& contention = service_->contention;
   forecast.contention = contention.Factor(used, entry_.slots);
   forecast.is_contended = used > contention.UncontendedSlots(entry_.slots);
-  forecast.is_beyond_useful = forecast.is_contended &&
-                              used > contention.UsefulSlots(entry_.slots);
+  forecast.is_beyond_useful =
+      forecast.is_contended && used > contention.UsefulSlots(entry_.slots);
   forecast.has_fresh_report = ReportAge(now) <= kMaxFreshReportAge;
   forecast.is_probing = IsProbing();
   forecast.is_probe_answer_expected =
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -26,7 +26,7 @@
   bool is_in_slow_phase = false;          // Reported slow for a short time.
   bool is_reported_slow = false;          // By a report of the last slow phase.
   bool is_straggler = false;              // Slower than it reports.
-  double contention = 1;   // Slowdown by the slots in use at the start.
+  double contention = 1;      // Slowdown by the slots in use at the start.
   bool is_contended = false;  // The next attempt takes a contended slot.
   // The next attempt takes a slot that lowers the endpoint's throughput.
   bool is_beyond_useful = false;
@@ -102,9 +102,9 @@
  private:
   struct running_attempt {
     monotonic_time started;
-    time_span expected{1};   // By reports and contention.
-    monotonic_time slow_at;  // When the attempt counts as slow.
-    ended_attempt start;    // `elapsed` is 0.
+    time_span expected{1};    // By reports and contention.
+    monotonic_time slow_at;   // When the attempt counts as slow.
+    ended_attempt start;      // `elapsed` is 0.
     bool is_counted = false;  // By the straggler detector.
   };
 
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -773,10 +773,10 @@
     sum.idle_endpoints += endpoint.BusySlots(now) == 0 ? 1 : 0;
     const endpoint_forecast forecast = endpoint.Forecast(now);
     sum.stragglers += forecast.is_straggler ? 1 : 0;
-    sum.slow_endpoints += forecast.is_reported_slow ||
-                                  forecast.multiplier > kFastEndpointFactor
-                              ? 1
-                              : 0;
+    sum.slow_endpoints +=
+        forecast.is_reported_slow || forecast.multiplier > kFastEndpointFactor
+            ? 1
+            : 0;
   }
   const contention_model& contention = performance_.contention;
   sum.contention_factor = contention.Factor(sum.slots, sum.slots);
--- a/tests/servers/scheduling/uneven_load.cc
+++ b/tests/servers/scheduling/uneven_load.cc
@@ -69,14 +69,13 @@
     };
     hooks.probe = [this](const endpoint_entry& endpoint) {
       const time_span delay =
-          milliseconds(2) + std::chrono::duration_cast<time_span>(
-                                milliseconds(6) * Uniform());
+          milliseconds(2) +
+          std::chrono::duration_cast<time_span>(milliseconds(6) * Uniform());
       probes_ += IsCounted(now_) ? 1 : 0;
       At(now_ + delay / 2, [this, id = endpoint.id, delay] {
         const endpoint_load sampled = ReportedLoad(endpoints_.at(id));
-        At(now_ + delay / 2, [this, id, sampled] {
-          scheduler_->ReportProbe(id, sampled, now_);
-        });
+        At(now_ + delay / 2,
+           [this, id, sampled] { scheduler_->ReportProbe(id, sampled, now_); });
       });
     };
     scheduler_ = std::make_unique<slot_scheduler>(
@@ -138,9 +137,8 @@
   }
 
   void ScheduleArrival() {
-    const double mean_work =
-        ToMilliseconds(load_.work) *
-        (1 + load_.long_share * (load_.long_factor - 1));
+    const double mean_work = ToMilliseconds(load_.work) *
+                             (1 + load_.long_share * (load_.long_factor - 1));
     const double gap_ms =
         mean_work / (load_.share * load_.endpoints * load_.slots);
     At(now_ + FromMilliseconds(-std::log(1 - Uniform()) * gap_ms), [this] {
@@ -183,11 +181,9 @@
     ++endpoint.running;
     const bool is_contended =
         endpoint.running > kContendedShare * load_.slots + 1e-9;
-    const bool is_silent_slow = now_ - start_ >= load_.warm_up &&
-                                load_.silent_slow_endpoint >= 0 &&
-                                endpoint.entry.id ==
-                                    "i-" + std::to_string(
-                                               load_.silent_slow_endpoint);
+    const bool is_silent_slow =
+        now_ - start_ >= load_.warm_up && load_.silent_slow_endpoint >= 0 &&
+        endpoint.entry.id == "i-" + std::to_string(load_.silent_slow_endpoint);
     const double slow =
         endpoint.is_slow || is_silent_slow ? load_.slow_factor : 1;
     const double contended = is_contended ? load_.contention_factor : 1;
@@ -206,9 +202,8 @@
       ++endpoint.late_starts;
     At(now_ + FromMilliseconds(run_ms), [this, grant, &endpoint] {
       --endpoint.running;
-      At(now_ + kNetworkDelay, [this, grant, load = ReportedLoad(endpoint)] {
-        Answer(grant, load);
-      });
+      At(now_ + kNetworkDelay,
+         [this, grant, load = ReportedLoad(endpoint)] { Answer(grant, load); });
     });
   }
 
@@ -246,8 +241,7 @@
   }
 
   uneven_result Finish() {
-    const double seconds =
-        ToMilliseconds(load_.length - load_.warm_up) / 1000;
+    const double seconds = ToMilliseconds(load_.length - load_.warm_up) / 1000;
     result_.mean_ratio = run_ms_ / work_ms_;
     result_.slow_excess = slow_excess_ms_ / work_ms_;
     result_.contention_excess = contention_excess_ms_ / work_ms_;
