Let the scheduler driver play endpoints and callers in several zones

The driver knew one zone. Zones have their own endpoints, share of the requests and delay between them; one can be lost for a time; a pooled play without zones is the reference. Grants that stay, leave, and cross in both directions are counted.

--- a/tests/servers/scheduling/slot_scheduler_driver.cc
+++ b/tests/servers/scheduling/slot_scheduler_driver.cc
@@ -24,6 +24,7 @@
 
 struct virtual_endpoint {
   endpoint_entry entry;
+  int zone = 0;
   bool is_slow = false;
   monotonic_time phase_ends;
   std::vector<running_work> running;
@@ -31,6 +32,7 @@
 
 // A caller without an answer so far.
 struct waiting_caller {
+  int zone = 0;
   monotonic_time arrived_at;
   int retries_left = 0;
   bool is_settled = false;
@@ -54,22 +56,30 @@
     };
     scheduler_ = std::make_unique<slot_scheduler>(
         settings, hooks, [this] { return generator_(); });
-    std::vector<endpoint_entry> entries;
-    for (int index = 0; index < load.endpoints; ++index) {
-      virtual_endpoint endpoint;
-      endpoint.entry.id = "i-" + std::to_string(index);
-      endpoint.entry.service = settings.service;
-      endpoint.entry.slots = 2;
-      endpoints_[endpoint.entry.id] = endpoint;
-      entries.push_back(endpoint.entry);
+    const std::vector<int> zones = load.zone_endpoints.empty()
+                                       ? std::vector<int>{load.endpoints}
+                                       : load.zone_endpoints;
+    zones_ = static_cast<int>(zones.size());
+    for (int zone = 0; zone < zones_; ++zone) {
+      for (int count = 0; count < zones[zone]; ++count) {
+        virtual_endpoint endpoint;
+        endpoint.entry.id = "i-" + std::to_string(endpoints_.size());
+        endpoint.entry.service = settings.service;
+        endpoint.entry.slots = load.slots;
+        endpoint.entry.availability_zone = ZoneName(zone);
+        endpoint.zone = zone;
+        endpoints_[endpoint.entry.id] = endpoint;
+      }
     }
-    scheduler_->SetEndpoints(entries, now_);
+    ListEndpoints();
   }
 
   scheduler_result Run() {
     const monotonic_time end = now_ + load_.length;
     while (now_ < end || !arrivals_.empty() || !scheduled_retries_.empty()) {
       now_ += kStep;
+      if (IsZoneLost() != was_zone_lost_)
+        ListEndpoints();
       SendScheduledRetries();
       DeliverGrants();
       if (now_ < end)
@@ -92,6 +102,43 @@
     return std::uniform_real_distribution<double>()(generator_);
   }
 
+  std::string ZoneName(int zone) const {
+    return load_.is_pooled ? "zone" : "zone-" + std::to_string(zone);
+  }
+
+  bool IsZoneLost() const {
+    const time_span age = now_ - start_;
+    return load_.lost_zone >= 0 && age >= load_.lost_from &&
+           age < load_.lost_until;
+  }
+
+  void ListEndpoints() {
+    was_zone_lost_ = IsZoneLost();
+    std::vector<endpoint_entry> entries;
+    for (const auto& [id, endpoint] : endpoints_) {
+      if (!was_zone_lost_ || endpoint.zone != load_.lost_zone)
+        entries.push_back(endpoint.entry);
+    }
+    scheduler_->SetEndpoints(entries, now_);
+  }
+
+  // Delay between the entry VM of a request and an endpoint.
+  time_span PathDelay(int zone, const virtual_endpoint& endpoint) const {
+    const bool is_far = !load_.is_pooled && zone != endpoint.zone;
+    return is_far ? load_.zone_delay : time_span(0);
+  }
+
+  int ChooseZone() {
+    double position = Uniform();
+    for (int zone = 0; zone + 1 < zones_; ++zone) {
+      position -= load_.zone_share ? load_.zone_share(zone, now_ - start_)
+                                   : 1.0 / zones_;
+      if (position < 0)
+        return zone;
+    }
+    return zones_ - 1;
+  }
+
   bool IsInBurst() const {
     const time_span age = now_ - start_;
     return age >= load_.burst_from && age < load_.burst_until;
@@ -104,7 +151,8 @@
       ++result_.requests;
       const bool is_settled = now_ - start_ >= load_.burst_until + kSettleTime;
       result_.settled_requests += is_settled ? 1 : 0;
-      Send({now_, load_.caller_retries, is_settled});
+      const int zone = zones_ > 1 ? ChooseZone() : 0;
+      Send({zone, now_, load_.caller_retries, is_settled});
     }
   }
 
@@ -113,6 +161,7 @@
     slot_request request;
     request.key = {"10.0.0.1:7000", next_number_++};
     request.work_class = "lookup";
+    request.availability_zone = ZoneName(caller.zone);
     request.may_repeat = load_.may_repeat;
     request.max_attempts = 2;
     request.goal = load_.goal;
@@ -134,11 +183,26 @@
   }
 
   void OnGrant(const slot_grant& grant) {
+    const virtual_endpoint& endpoint = endpoints_.at(grant.endpoint.id);
+    const auto caller = callers_.find(grant.request);
+    if (caller != callers_.end())
+      CountGrant(caller->second.zone, endpoint.zone);
     in_transit_.emplace_back(now_ + load_.network_delay, grant);
     if (load_.network_delay == time_span(0))
       DeliverGrants();
   }
 
+  void CountGrant(int home, int zone) {
+    if (home == zone) {
+      ++result_.home_grants;
+      return;
+    }
+    ++result_.other_grants;
+    const int second =
+        static_cast<int>((now_ - start_) / std::chrono::seconds(1));
+    ++result_.crossings[{second, home, zone}];
+  }
+
   void DeliverGrants() {
     while (!in_transit_.empty() && in_transit_.front().first <= now_) {
       const slot_grant grant = in_transit_.front().second;
@@ -158,6 +222,9 @@
     double work = ToMilliseconds(load_.work) * (0.7 + 0.6 * Uniform());
     if (load_.is_speed_fixed_at_start)
       work /= CurrentSpeed(endpoint, endpoint.running.size() + 1);
+    // The path to another zone and back occupies the slot as well.
+    work += 2 * ToMilliseconds(
+                    PathDelay(callers_.at(grant.request).zone, endpoint));
     endpoint.running.push_back({grant.request, grant.attempt, work});
   }
 
@@ -192,7 +259,10 @@
   double CurrentSpeed(const virtual_endpoint& endpoint,
                       std::size_t running) const {
     const double speed = 1 / CurrentSlowdown(endpoint);
-    return running >= 2 ? speed / load_.contention_factor : speed;
+    // The deployments state contention above 0.8 of the slots.
+    const bool is_contended =
+        static_cast<double>(running) > 0.8 * load_.slots && running > 1;
+    return is_contended ? speed / load_.contention_factor : speed;
   }
 
   void AdvanceWork(virtual_endpoint& endpoint) {
@@ -268,6 +338,8 @@
   std::vector<std::pair<monotonic_time, std::string>> probes_;
   std::deque<std::pair<monotonic_time, slot_grant>> in_transit_;
   std::uint64_t next_number_ = 1;
+  int zones_ = 1;
+  bool was_zone_lost_ = false;
   monotonic_time now_;
   const monotonic_time start_ = now_;
   scheduler_result result_;
--- a/tests/servers/scheduling/slot_scheduler_driver.h
+++ b/tests/servers/scheduling/slot_scheduler_driver.h
@@ -10,6 +10,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "servers/scheduling/slot_scheduler.h"
@@ -46,6 +47,20 @@
   // Counted from the first attempt of the caller.
   time_span caller_timeout = std::chrono::hours(1);
   std::uint64_t seed = 1;
+  int slots = 2;  // Of each endpoint.
+  // Number of endpoints of each zone; replaces `endpoints` unless empty.
+  std::vector<int> zone_endpoints;
+  // Share of the request rate that each zone has, by time since the start; all
+  // shares are equal when not set.
+  std::function<double(int zone, time_span age)> zone_share;
+  time_span zone_delay{0};  // One-way delay between zones.
+  // The endpoints of this zone are unlisted from `lost_from` to `lost_until`
+  // after the start; -1 means that none is.
+  int lost_zone = -1;
+  time_span lost_from{0};
+  time_span lost_until{0};
+  // The scheduler sees all zones as one, and there is no delay between them.
+  bool is_pooled = false;
 };
 
 struct scheduler_result {
@@ -62,6 +77,11 @@
   std::uint64_t probes = 0;
   std::uint64_t repeats = 0;
   time_span longest_hold{0};  // Longest wait for a rejection.
+  int home_grants = 0;        // Endpoint in the zone of the request.
+  int other_grants = 0;       // Endpoint in another zone.
+  // Grants that leave a zone, by second since the start, home zone and zone of
+  // the endpoint.
+  std::map<std::tuple<int, int, int>, int> crossings;
 };
 
 // Callers count as settled if they arrive this long after the end of a burst.
