--- a/servers/scheduling/slot_hooks.h
+++ b/servers/scheduling/slot_hooks.h
@@ -10,6 +10,7 @@
 #include "core/monotonic_time.h"
 #include "servers/discovery/endpoint_entry.h"
 #include "servers/scheduling/slot_request.h"
+#include "servers/scheduling/zone_overflow.h"
 
 namespace papayakeel {
 
@@ -30,6 +31,7 @@
   std::uint64_t attempt = 0;  // Unique within the scheduler.
   endpoint_entry endpoint;
   bool is_hedge = false;
+  zone_reason zone = zone_reason::kHome;
 };
 
 struct slot_rejection {
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -41,13 +41,6 @@
 // Initial estimate of the processing time, as a share of the goal.
 constexpr double kInitialWorkGoalShare = 0.4;
 
-// Cost of an endpoint in another availability zone: the round trip and the
-// price that both organisations that run this load balancer pay for traffic
-// between zones. An upload of 60 KB to another zone costs them about half of
-// the value of its response.
-constexpr time_span kZoneCost = std::chrono::milliseconds(10);
-constexpr time_span kZoneCostPerKilobyte = std::chrono::milliseconds(4);
-
 // Each step of lower importance moves a request back in the queue by this time.
 constexpr time_span kImportanceStep = std::chrono::milliseconds(60);
 
@@ -91,8 +84,9 @@
 // within about this time.
 constexpr time_span kNoEndpointRetryAfter = std::chrono::milliseconds(500);
 
-// A pass over the queue ends after this many consecutive requests without a
-// grant. This bounds its cost; later requests are unlikely to be placed.
+// A pass over the queue skips the requests of a zone after this many of them
+// without a grant. This bounds its cost; later requests of the zone are
+// unlikely to be placed.
 constexpr int kMaxConsecutiveUnplaced = 8;
 
 // Interval of the deadline checks of waiting requests.
@@ -170,6 +164,7 @@
   ++counters_.requests;
   if (!request.was_counted)
     repeats_.CountRequest(now);
+  overflow_.CountArrival(request.availability_zone, now);
   request_record& record = entry->second;
   record.request = request;
   record.attempts = request.earlier_attempts;
@@ -213,7 +208,9 @@
   if (endpoint == endpoints_.end())
     return;
   endpoint->second.Start(attempt, UsualWork(request), ContentionFactor(), now);
-  record.running[attempt] = {endpoint_id, false};
+  const std::string& zone = endpoint->second.entry().availability_zone;
+  record.running[attempt] = {endpoint_id, false, zone_reason::kHome, zone};
+  overflow_.CountStart(request.availability_zone, zone);
   record.tried_endpoints.insert(endpoint_id);
   // The end of the attempt may never be reported.
   ScheduleWakeUp(now + kSweepInterval);
@@ -233,6 +230,8 @@
     return;
   const time_span work = UsualWork(record.request);
   const auto endpoint = endpoints_.find(running->second.endpoint_id);
+  overflow_.CountEnd(record.request.availability_zone,
+                     running->second.endpoint_zone);
   record.running.erase(running);
   if (endpoint != endpoints_.end()) {
     const std::optional<endpoint_slots::ended_attempt> ended =
@@ -293,6 +292,7 @@
     return;
   request_record& record = found->second;
   for (const auto& [attempt, running] : record.running) {
+    overflow_.CountEnd(record.request.availability_zone, running.endpoint_zone);
     const auto endpoint = endpoints_.find(running.endpoint_id);
     if (endpoint != endpoints_.end())
       endpoint->second.End(attempt, attempt_outcome::kCancelled, now);
@@ -339,23 +339,33 @@
     if (endpoint == endpoints_.end())
       continue;
     grants.push_back({key, found->second.request.caller_id, attempt,
-                      endpoint->second.entry(), running.is_hedge});
+                      endpoint->second.entry(), running.is_hedge,
+                      running.zone});
   }
   return grants;
 }
 
 void slot_scheduler::PlaceWaitingRequests(monotonic_time now) {
   if (!waiting_.empty()) {
+    UpdateZones(now);
     std::vector<candidate> free = FreeEndpoints(now);
-    int unplaced = 0;
-    for (auto each = waiting_.begin(); each != waiting_.end() &&
-                                       !free.empty() &&
-                                       unplaced < kMaxConsecutiveUnplaced;) {
+    // Consecutive requests without a grant, by zone.
+    std::map<std::string, int> unplaced;
+    std::size_t skipped_zones = 0;
+    const std::size_t zones =
+        std::max<std::size_t>(overflow_.states().size(), 1);
+    for (auto each = waiting_.begin();
+         each != waiting_.end() && !free.empty() && skipped_zones < zones;) {
       request_record& record = *each->second;
       // PlaceRequest may remove the entry.
       ++each;
-      unplaced =
-          PlaceRequest(record, free, unplaced == 0, now) ? 0 : unplaced + 1;
+      int& ahead =
+          unplaced[overflow_.IsSingleZone() ? std::string()
+                                            : record.request.availability_zone];
+      if (ahead >= kMaxConsecutiveUnplaced)
+        continue;
+      ahead = PlaceRequest(record, free, ahead, now) ? 0 : ahead + 1;
+      skipped_zones += ahead >= kMaxConsecutiveUnplaced ? 1 : 0;
     }
   }
   if (!waiting_.empty()) {
@@ -365,6 +375,34 @@
   }
 }
 
+void slot_scheduler::UpdateZones(monotonic_time now) {
+  std::map<std::string, zone_state> states;
+  const bool can_take_last_slots =
+      ContentionFactor() < kNegligibleContentionFactor;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.IsUsable())
+      continue;
+    zone_state& state = states[endpoint.entry().availability_zone];
+    state.running += endpoint.in_flight();
+    if (endpoint.IsEjected(now))
+      continue;
+    ++state.endpoints;
+    const int slots = endpoint.entry().slots;
+    const int reserved = can_take_last_slots || slots == 1 ? 0 : 1;
+    state.slots += slots - reserved;
+    state.all_slots += slots;
+    state.free_slots += std::max(endpoint.FreeSlots(now) - reserved, 0);
+  }
+  // Without a second zone nothing is decided.
+  if (states.size() > 1) {
+    for (const auto& [position, record] : waiting_) {
+      if (position.tier != kHedgeTier)
+        ++states[record->request.availability_zone].waiting;
+    }
+  }
+  overflow_.SetStates(std::move(states), holding_time_.mean(), now);
+}
+
 std::vector<slot_scheduler::candidate> slot_scheduler::FreeEndpoints(
     monotonic_time now) {
   std::vector<candidate> free;
@@ -377,28 +415,129 @@
   return free;
 }
 
-bool slot_scheduler::PlaceRequest(request_record& record,
-                                  std::vector<candidate>& free,
-                                  bool is_first,
-                                  monotonic_time now) {
-  if (record.wants_hedge && !repeats_.CanRepeat(now))
-    return false;
+std::vector<slot_scheduler::choice> slot_scheduler::CollectChoices(
+    const request_record& record,
+    const std::vector<candidate>& free,
+    const std::set<std::string>* zones,
+    bool can_take_last_slot,
+    monotonic_time now) const {
   const double contention_factor = ContentionFactor();
-  std::vector<std::pair<time_span, std::size_t>> choices;
+  std::vector<choice> choices;
   for (std::size_t index = 0; index < free.size(); ++index) {
     const candidate& each = free[index];
-    const bool is_tried =
-        record.tried_endpoints.count(each.endpoint->entry().id) > 0;
+    const endpoint_entry& entry = each.endpoint->entry();
+    if (zones != nullptr && zones->count(entry.availability_zone) == 0)
+      continue;
+    const bool is_tried = record.tried_endpoints.count(entry.id) > 0;
     // While earlier requests wait for an empty endpoint, a request in the last
     // slot of an endpoint would make both requests there late.
     const bool is_allowed =
         !each.forecast.is_nearly_full ||
         contention_factor < kNegligibleContentionFactor ||
-        (is_first && CanTakeLastSlot(record, each.forecast, now));
+        (can_take_last_slot && CanTakeLastSlot(record, each.forecast, now));
     if (!is_tried && is_allowed)
       choices.emplace_back(PlacementCost(record, each, contention_factor),
                            index);
   }
+  return choices;
+}
+
+slot_scheduler::placement slot_scheduler::ChooseZones(
+    const request_record& record,
+    const std::vector<candidate>& free,
+    int ahead,
+    monotonic_time now) {
+  const std::string& home = record.request.availability_zone;
+  placement result;
+  if (overflow_.IsSingleZone()) {
+    result.choices = CollectChoices(record, free, nullptr, ahead == 0, now);
+    result.reason = zone_reason::kNoEndpoint;
+    return result;
+  }
+  const std::set<std::string> home_zone = {home};
+  result.choices = CollectChoices(record, free, &home_zone, ahead == 0, now);
+  zone_prospect prospect =
+      HomeProspect(record, free, result.choices, ahead, now);
+  if (!result.choices.empty()) {
+    const auto best =
+        std::min_element(result.choices.begin(), result.choices.end());
+    const endpoint_forecast& forecast = free[best->second].forecast;
+    const time_span hold_time =
+        record.held_since ? now - *record.held_since : time_span(0);
+    // An endpoint without a recent report is asked before another zone is
+    // considered.
+    const bool is_asked_first =
+        !forecast.has_fresh_report &&
+        (forecast.is_probe_answer_expected || hold_time < kMaxProbeWait);
+    if (is_asked_first)
+      return result;
+  }
+  const std::set<std::string> receivers =
+      overflow_.Receivers(home, !prospect.has_home_endpoint, now);
+  const std::vector<choice> others = CollectChoices(
+      record, free, &receivers, !prospect.has_home_endpoint && ahead == 0, now);
+  if (others.empty())
+    return result;
+  prospect.other_work = std::min_element(others.begin(), others.end())->first;
+  result.reason = overflow_.Decide(prospect, now);
+  if (result.reason != zone_reason::kHome)
+    result.choices.insert(result.choices.end(), others.begin(), others.end());
+  return result;
+}
+
+zone_prospect slot_scheduler::HomeProspect(const request_record& record,
+                                           const std::vector<candidate>& free,
+                                           const std::vector<choice>& choices,
+                                           int ahead,
+                                           monotonic_time now) const {
+  const slot_request& request = record.request;
+  zone_prospect prospect;
+  prospect.home = request.availability_zone;
+  prospect.is_repeat = record.attempts > 0;
+  int untried = 0;
+  const auto state = overflow_.states().find(prospect.home);
+  if (state != overflow_.states().end())
+    untried = state->second.endpoints;
+  for (const std::string& id : record.tried_endpoints) {
+    const auto endpoint = endpoints_.find(id);
+    const bool is_counted =
+        endpoint != endpoints_.end() && endpoint->second.IsUsable() &&
+        !endpoint->second.IsEjected(now) &&
+        endpoint->second.entry().availability_zone == prospect.home;
+    untried -= is_counted ? 1 : 0;
+  }
+  prospect.has_home_endpoint = untried > 0;
+  prospect.has_free_home_endpoint = !choices.empty();
+  prospect.goal_left = request.arrival + request.goal - now;
+  prospect.slack = LatestStart(request) - now;
+  prospect.path = zone_overflow::PathCost(request.bytes, 0, 0);
+  const time_span work = UsualWork(request);
+  prospect.home_work = work;
+  if (choices.empty()) {
+    prospect.home_wait = overflow_.HomeWait(prospect.home, ahead);
+    return prospect;
+  }
+  const choice& closest = *std::min_element(choices.begin(), choices.end());
+  if (!free[closest.second].forecast.is_in_slow_phase) {
+    prospect.home_work = closest.first;
+    return prospect;
+  }
+  // The request would be held until the slow phase ends.
+  const time_span held =
+      record.held_since ? now - *record.held_since : time_span(0);
+  prospect.home_wait =
+      std::max<time_span>(kRemainingSlowPhase - held, kReprobeInterval);
+  return prospect;
+}
+
+bool slot_scheduler::PlaceRequest(request_record& record,
+                                  std::vector<candidate>& free,
+                                  int ahead,
+                                  monotonic_time now) {
+  if (record.wants_hedge && !repeats_.CanRepeat(now))
+    return false;
+  const placement allowed = ChooseZones(record, free, ahead, now);
+  const std::vector<choice>& choices = allowed.choices;
   if (choices.empty())
     return false;
   if (!record.held_since)
@@ -423,7 +562,7 @@
     }
   }
   endpoint_slots& endpoint = *free[best].endpoint;
-  Grant(record, endpoint, now);
+  Grant(record, endpoint, allowed.reason, now);
   if (endpoint.FreeSlots(now) > 0) {
     free[best].forecast = endpoint.Forecast(now);
   } else {
@@ -461,16 +600,14 @@
                                                 contention_factor);
   if (choice.endpoint->entry().availability_zone !=
       record.request.availability_zone) {
-    cost += kZoneCost + kZoneCostPerKilobyte *
-                            static_cast<int>(record.request.bytes / 1024);
+    cost += zone_overflow::PathCost(record.request.bytes, 0, 0);
   }
   return cost;
 }
 
-bool slot_scheduler::ProbeCandidates(
-    std::vector<std::pair<time_span, std::size_t>> choices,
-    std::vector<candidate>& free,
-    monotonic_time now) {
+bool slot_scheduler::ProbeCandidates(std::vector<choice> choices,
+                                     std::vector<candidate>& free,
+                                     monotonic_time now) {
   std::size_t outstanding = 0;
   for (const candidate& each : free)
     outstanding += each.forecast.is_probing ? 1 : 0;
@@ -496,6 +633,7 @@
 
 void slot_scheduler::Grant(request_record& record,
                            endpoint_slots& endpoint,
+                           zone_reason reason,
                            monotonic_time now) {
   const std::uint64_t attempt = next_attempt_++;
   const bool is_hedge = record.wants_hedge;
@@ -509,7 +647,17 @@
   }
   ++record.attempts;
   ++counters_.grants;
-  record.running[attempt] = {endpoint.entry().id, is_hedge};
+  const std::string& home = record.request.availability_zone;
+  const std::string& zone = endpoint.entry().availability_zone;
+  const bool is_home = zone == home;
+  if (is_home)
+    reason = zone_reason::kHome;
+  ++(is_home ? counters_.home_zone_grants : counters_.other_zone_grants);
+  record.running[attempt] = {endpoint.entry().id, is_hedge, reason, zone};
+  overflow_.TakeSlot(home, zone);
+  overflow_.CountStart(home, zone);
+  if (reason == zone_reason::kGoal || reason == zone_reason::kLate)
+    overflow_.CountCrossing(home);
   record.tried_endpoints.insert(endpoint.entry().id);
   const time_span work = UsualWork(record.request);
   endpoint.Start(attempt, work, ContentionFactor(), now);
@@ -521,7 +669,7 @@
     hedges_due_.insert({record.hedge_at, record.request.key});
   }
   hooks_.grant({record.request.key, record.request.caller_id, attempt,
-                endpoint.entry(), is_hedge});
+                endpoint.entry(), is_hedge, reason});
 }
 
 void slot_scheduler::ReserveRepeat(request_record& record, monotonic_time now) {
@@ -810,7 +958,9 @@
             {"hedges", counters_.hedges},
             {"retries", counters_.retries},
             {"probes", counters_.probes},
-            {"rejections", counters_.rejections}}}};
+            {"rejections", counters_.rejections},
+            {"home_zone_grants", counters_.home_zone_grants},
+            {"other_zone_grants", counters_.other_zone_grants}}}};
 }
 
 }  // namespace papayakeel
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -22,6 +22,7 @@
 #include "servers/scheduling/slot_hooks.h"
 #include "servers/scheduling/slot_settings.h"
 #include "servers/scheduling/work_estimate.h"
+#include "servers/scheduling/zone_overflow.h"
 
 namespace papayakeel {
 
@@ -32,6 +33,9 @@
   std::uint64_t retries = 0;
   std::uint64_t probes = 0;
   std::uint64_t rejections = 0;
+  // Grants by the zone of the endpoint: that of the request, or another.
+  std::uint64_t home_zone_grants = 0;
+  std::uint64_t other_zone_grants = 0;
 };
 
 class slot_scheduler {
@@ -106,6 +110,8 @@
   struct running_attempt {
     std::string endpoint_id;
     bool is_hedge = false;
+    zone_reason zone = zone_reason::kHome;
+    std::string endpoint_zone;
   };
   struct request_record {
     slot_request request;
@@ -137,15 +143,43 @@
     endpoint_forecast forecast;
   };
 
+  // Cost of an endpoint with a free slot and its index in the list of these.
+  using choice = std::pair<time_span, std::size_t>;
+  // The endpoints that a request may take now.
+  struct placement {
+    std::vector<choice> choices;
+    // Why endpoints of other zones are among the choices.
+    zone_reason reason = zone_reason::kHome;
+  };
+
   void PlaceWaitingRequests(monotonic_time now);
+  // Passes the endpoints and the waiting requests of each zone to `overflow_`.
+  void UpdateZones(monotonic_time now);
   std::vector<candidate> FreeEndpoints(monotonic_time now);
-  // Tries to grant an endpoint to a waiting request. `is_first` means that no
-  // request ahead of it remains in the queue. Returns false if the request
-  // keeps waiting for probes or for a better endpoint.
+  // Tries to grant an endpoint to a waiting request. `ahead` is the number of
+  // requests of its zone that remain in the queue before it. Returns false if
+  // the request keeps waiting for probes or for a better endpoint.
   bool PlaceRequest(request_record& record,
                     std::vector<candidate>& free,
-                    bool is_first,
+                    int ahead,
                     monotonic_time now);
+  // Returns the endpoints of `zones`, or of all zones if it is null, that the
+  // request may take.
+  std::vector<choice> CollectChoices(const request_record& record,
+                                     const std::vector<candidate>& free,
+                                     const std::set<std::string>* zones,
+                                     bool can_take_last_slot,
+                                     monotonic_time now) const;
+  placement ChooseZones(const request_record& record,
+                        const std::vector<candidate>& free,
+                        int ahead,
+                        monotonic_time now);
+  // Fills in what the request can expect in its own zone.
+  zone_prospect HomeProspect(const request_record& record,
+                             const std::vector<candidate>& free,
+                             const std::vector<choice>& choices,
+                             int ahead,
+                             monotonic_time now) const;
   // Whether to delay the request although this endpoint has a free slot,
   // because work that starts there now takes much longer than usual.
   bool ShouldHold(const request_record& record,
@@ -161,11 +195,12 @@
   // Probes the endpoints with the lowest cost that have no recent report.
   // `choices` holds pairs of a cost and an index in `free`. Returns whether a
   // probe is pending.
-  bool ProbeCandidates(std::vector<std::pair<time_span, std::size_t>> choices,
+  bool ProbeCandidates(std::vector<choice> choices,
                        std::vector<candidate>& free,
                        monotonic_time now);
   void Grant(request_record& record,
              endpoint_slots& endpoint,
+             zone_reason reason,
              monotonic_time now);
   void ReserveRepeat(request_record& record, monotonic_time now);
   void Reject(const request_key& key,
@@ -218,6 +253,7 @@
   // Moving average of late requests started per second.
   double late_rate_ = 0;
   monotonic_time late_rate_updated_at_;
+  zone_overflow overflow_;
   repeat_window repeats_;
   std::uint64_t next_attempt_;
   std::optional<monotonic_time> wake_at_;
--- /dev/null
+++ b/servers/scheduling/zone_overflow.cc
@@ -0,0 +1,222 @@
+// Spare capacity of zones, damping of overflow and the decision for a request.
+#include "servers/scheduling/zone_overflow.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace papayakeel {
+
+namespace {
+
+// Round trip between zones until it is measured; both deployments state a
+// one-way delay of 1.4 ms.
+constexpr time_span kZoneRoundTrip = std::chrono::milliseconds(3);
+
+// A new owner does not know the arrivals of the zones. It keeps requests at
+// home until it has seen this much traffic.
+constexpr time_span kLearningTime = std::chrono::seconds(1);
+
+// Time constant of the moving average of arrivals.
+constexpr time_span kRateTimeConstant = std::chrono::seconds(1);
+
+// A request waits for its own zone while the expected wait is at most this
+// share of its slack. The estimate of the wait is uncertain, and time must be
+// left to ask and to use another zone.
+constexpr double kComfortableWaitShare = 0.6;
+
+// Share of the arrivals that may always leave, growth per second while more is
+// needed and decline per second otherwise.
+constexpr double kMinShare = 0.1;
+constexpr double kShareGrowth = 1.0;
+constexpr double kShareDecline = 0.1;
+// The share grows while a request was refused for it this recently.
+constexpr time_span kDenialMemory = std::chrono::milliseconds(100);
+// Crossings that a zone may have saved up: a number, and arrivals of this time.
+constexpr double kMinBurst = 2;
+constexpr double kBurstSeconds = 0.1;
+
+}  // namespace
+
+const char* ToString(zone_reason reason) {
+  switch (reason) {
+    case zone_reason::kHome:
+      return "home";
+    case zone_reason::kNoEndpoint:
+      return "no_endpoint";
+    case zone_reason::kGoal:
+      return "goal";
+    case zone_reason::kLate:
+      return "late";
+  }
+  return "unknown";
+}
+
+time_span zone_overflow::PathCost(std::size_t request_bytes,
+                                  std::size_t answer_bytes,
+                                  double link_bytes_per_second) {
+  if (link_bytes_per_second <= 0)
+    return kZoneRoundTrip;
+  const double bytes = static_cast<double>(request_bytes + answer_bytes);
+  return kZoneRoundTrip +
+         FromMilliseconds(bytes * 1000 / link_bytes_per_second);
+}
+
+void zone_overflow::CountArrival(const std::string& home, monotonic_time now) {
+  zone_flow& flow = flows_[home];
+  const double time_constant = ToMilliseconds(kRateTimeConstant) / 1000;
+  flow.arrival_rate = ArrivalRate(home, now) + 1 / time_constant;
+  flow.updated_at = now;
+  if (!flow.first_arrival)
+    flow.first_arrival = now;
+}
+
+double zone_overflow::ArrivalRate(const std::string& zone,
+                                  monotonic_time now) const {
+  const auto found = flows_.find(zone);
+  if (found == flows_.end())
+    return 0;
+  const double age = ToMilliseconds(now - found->second.updated_at);
+  return found->second.arrival_rate *
+         std::exp(-age / ToMilliseconds(kRateTimeConstant));
+}
+
+void zone_overflow::CountStart(const std::string& home,
+                               const std::string& zone) {
+  if (home == zone)
+    return;
+  ++flows_[home].sent;
+  ++flows_[zone].received;
+}
+
+void zone_overflow::CountEnd(const std::string& home, const std::string& zone) {
+  if (home == zone)
+    return;
+  --flows_[home].sent;
+  --flows_[zone].received;
+}
+
+void zone_overflow::SetStates(std::map<std::string, zone_state> states,
+                              time_span holding_time,
+                              monotonic_time now) {
+  states_ = std::move(states);
+  holding_time_ = holding_time;
+  UpdateShares(now);
+}
+
+void zone_overflow::TakeSlot(const std::string& home, const std::string& zone) {
+  const auto taken = states_.find(zone);
+  if (taken != states_.end())
+    --taken->second.free_slots;
+  const auto left = states_.find(home);
+  if (left != states_.end())
+    --left->second.waiting;
+}
+
+double zone_overflow::SpareSlots(const std::string& zone,
+                                 monotonic_time now) const {
+  const auto found = states_.find(zone);
+  if (found == states_.end())
+    return 0;
+  const zone_state& state = found->second;
+  // While the arrivals of the next work time come, the slots that are busy now
+  // become free. Of the slots that are free now, the waiting requests take some
+  // at once.
+  const double expected =
+      ArrivalRate(zone, now) * ToMilliseconds(holding_time_) / 1000;
+  const auto flow = flows_.find(zone);
+  const int received = flow == flows_.end() ? 0 : flow->second.received;
+  const double later = state.slots - state.waiting - expected - received;
+  return std::min<double>(state.free_slots - state.waiting, later);
+}
+
+time_span zone_overflow::HomeWait(const std::string& home, int ahead) const {
+  const auto found = states_.find(home);
+  const int running = found == states_.end() ? 0 : found->second.running;
+  return holding_time_ * (ahead + 1) / std::max(running, 1);
+}
+
+std::set<std::string> zone_overflow::Receivers(const std::string& home,
+                                               bool is_forced,
+                                               monotonic_time now) const {
+  std::map<std::string, double> spare;
+  double most = 0;
+  for (const auto& [zone, state] : states_) {
+    if (zone == home || state.endpoints == 0)
+      continue;
+    spare[zone] = SpareSlots(zone, now);
+    most = std::max(most, spare[zone]);
+  }
+  std::set<std::string> receivers;
+  for (const auto& [zone, slots] : spare) {
+    const auto flow = flows_.find(zone);
+    const bool is_sending = flow != flows_.end() && flow->second.sent > 0;
+    // With little spare anywhere, any zone may take a request that has no
+    // endpoint at home.
+    const bool receives =
+        is_forced ? most < 1 || slots >= most / 2 : !is_sending && slots >= 1;
+    if (receives)
+      receivers.insert(zone);
+  }
+  return receivers;
+}
+
+zone_reason zone_overflow::Decide(const zone_prospect& prospect,
+                                  monotonic_time now) {
+  if (!prospect.has_home_endpoint)
+    return zone_reason::kNoEndpoint;
+  if (prospect.is_repeat) {
+    return prospect.has_free_home_endpoint ? zone_reason::kHome
+                                           : zone_reason::kNoEndpoint;
+  }
+  const zone_flow& flow = flows_[prospect.home];
+  const bool is_learning =
+      !flow.first_arrival || now - *flow.first_arrival < kLearningTime;
+  if (is_learning || flow.received > 0)
+    return zone_reason::kHome;
+  const time_span home_end = prospect.home_wait + prospect.home_work;
+  const time_span comfortable_wait =
+      FromMilliseconds(ToMilliseconds(prospect.slack) * kComfortableWaitShare);
+  if (home_end <= prospect.goal_left &&
+      prospect.home_wait <= std::max(comfortable_wait, time_span(0)))
+    return zone_reason::kHome;
+  zone_reason reason = zone_reason::kHome;
+  if (prospect.other_work <= prospect.goal_left) {
+    reason = zone_reason::kGoal;
+  } else if (home_end - prospect.other_work > prospect.path) {
+    reason = zone_reason::kLate;
+  }
+  if (reason != zone_reason::kHome && !TakesFromShare(prospect.home, now))
+    return zone_reason::kHome;
+  return reason;
+}
+
+bool zone_overflow::TakesFromShare(const std::string& home,
+                                   monotonic_time now) {
+  zone_flow& flow = flows_[home];
+  if (flow.allowance >= 1)
+    return true;
+  flow.denied_at = now;
+  return false;
+}
+
+void zone_overflow::CountCrossing(const std::string& home) {
+  flows_[home].allowance -= 1;
+}
+
+void zone_overflow::UpdateShares(monotonic_time now) {
+  const double elapsed =
+      std::min(ToMilliseconds(now - share_updated_at_) / 1000, 1.0);
+  share_updated_at_ = now;
+  for (auto& [zone, flow] : flows_) {
+    const bool is_short =
+        flow.denied_at && now - *flow.denied_at <= kDenialMemory;
+    flow.share += elapsed * (is_short ? kShareGrowth : -kShareDecline);
+    flow.share = std::clamp(flow.share, kMinShare, 1.0);
+    const double rate = ArrivalRate(zone, now);
+    flow.allowance = std::min(flow.allowance + elapsed * flow.share * rate,
+                              kMinBurst + kBurstSeconds * rate);
+  }
+}
+
+}  // namespace papayakeel
