Count grants by zone, and wait less for home the busier a zone is

Log line slot_granted says why a request left its zone (zone), and papayakeel_zone_grants_total counts grants by where they went. A fixed share of the slack as longest wait cost small services their goal at high load, so that the share falls to none once a zone needs half of its slots.

--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -495,6 +495,15 @@
                static_cast<double>(slots.requests));
   sink.Counter("papayakeel_slot_grants_total", "Attempts granted as owner", {},
                static_cast<double>(slots.grants));
+  const auto count_zone_grants = [&sink](const char* where,
+                                         std::uint64_t grants) {
+    sink.Counter("papayakeel_zone_grants_total",
+                 "Attempts granted as owner, by the zone of the endpoint: that "
+                 "of the request, or another",
+                 {{"where", where}}, static_cast<double>(grants));
+  };
+  count_zone_grants("home", slots.home_zone_grants);
+  count_zone_grants("other", slots.other_zone_grants);
   sink.Counter("papayakeel_hedges_total", "Hedges granted as owner", {},
                static_cast<double>(slots.hedges));
   sink.Counter("papayakeel_retries_total", "Retries granted as owner", {},
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -190,7 +190,8 @@
        {"holder", grant.request.entry_vm},
        {"shard", shard.Name()},
        {"endpoint", grant.endpoint.id},
-       {"hedge", grant.is_hedge ? "true" : "false"}});
+       {"hedge", grant.is_hedge ? "true" : "false"},
+       {"zone", ToString(grant.zone)}});
   const network_address self = directory_->self().peer_address;
   if (grant.request.entry_vm == self.ToString()) {
     // Posted because a hook must not call the scheduler before the scheduler
@@ -669,6 +670,8 @@
     sum.retries += each.retries;
     sum.probes += each.probes;
     sum.rejections += each.rejections;
+    sum.home_zone_grants += each.home_zone_grants;
+    sum.other_zone_grants += each.other_zone_grants;
   }
   return sum;
 }
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -377,8 +377,6 @@
 
 void slot_scheduler::UpdateZones(monotonic_time now) {
   std::map<std::string, zone_state> states;
-  const bool can_take_last_slots =
-      ContentionFactor() < kNegligibleContentionFactor;
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint.IsUsable())
       continue;
@@ -387,11 +385,8 @@
     if (endpoint.IsEjected(now))
       continue;
     ++state.endpoints;
-    const int slots = endpoint.entry().slots;
-    const int reserved = can_take_last_slots || slots == 1 ? 0 : 1;
-    state.slots += slots - reserved;
-    state.all_slots += slots;
-    state.free_slots += std::max(endpoint.FreeSlots(now) - reserved, 0);
+    state.slots += endpoint.entry().slots;
+    state.free_slots += endpoint.FreeSlots(now);
   }
   // Without a second zone nothing is decided.
   if (states.size() > 1) {
@@ -474,8 +469,8 @@
   }
   const std::set<std::string> receivers =
       overflow_.Receivers(home, !prospect.has_home_endpoint, now);
-  const std::vector<choice> others = CollectChoices(
-      record, free, &receivers, !prospect.has_home_endpoint && ahead == 0, now);
+  const std::vector<choice> others =
+      CollectChoices(record, free, &receivers, ahead == 0, now);
   if (others.empty())
     return result;
   prospect.other_work = std::min_element(others.begin(), others.end())->first;
@@ -507,7 +502,14 @@
     untried -= is_counted ? 1 : 0;
   }
   prospect.has_home_endpoint = untried > 0;
-  prospect.has_free_home_endpoint = !choices.empty();
+  // A hedge that may not use the last slot of an endpoint waits for another
+  // one.
+  prospect.has_free_home_endpoint =
+      std::any_of(free.begin(), free.end(), [&](const candidate& each) {
+        const endpoint_entry& entry = each.endpoint->entry();
+        return entry.availability_zone == prospect.home &&
+               record.tried_endpoints.count(entry.id) == 0;
+      });
   prospect.goal_left = request.arrival + request.goal - now;
   prospect.slack = LatestStart(request) - now;
   prospect.path = zone_overflow::PathCost(request.bytes, 0, 0);
@@ -594,11 +596,11 @@
 }
 
 time_span slot_scheduler::PlacementCost(const request_record& record,
-                                        const candidate& choice,
+                                        const candidate& option,
                                         double contention_factor) const {
-  time_span cost = choice.forecast.ExpectedTime(UsualWork(record.request),
+  time_span cost = option.forecast.ExpectedTime(UsualWork(record.request),
                                                 contention_factor);
-  if (choice.endpoint->entry().availability_zone !=
+  if (option.endpoint->entry().availability_zone !=
       record.request.availability_zone) {
     cost += zone_overflow::PathCost(record.request.bytes, 0, 0);
   }
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -190,7 +190,7 @@
                           time_span work,
                           const endpoint_slots::ended_attempt& ended);
   time_span PlacementCost(const request_record& record,
-                          const candidate& choice,
+                          const candidate& option,
                           double contention_factor) const;
   // Probes the endpoints with the lowest cost that have no recent report.
   // `choices` holds pairs of a cost and an index in `free`. Returns whether a
--- a/servers/scheduling/zone_overflow.cc
+++ b/servers/scheduling/zone_overflow.cc
@@ -20,20 +20,25 @@
 // Time constant of the moving average of arrivals.
 constexpr time_span kRateTimeConstant = std::chrono::seconds(1);
 
-// A request waits for its own zone while the expected wait is at most this
-// share of its slack. The estimate of the wait is uncertain, and time must be
-// left to ask and to use another zone.
-constexpr double kComfortableWaitShare = 0.6;
+// A request waits for its own zone while the expected wait is at most a share
+// of its slack: this share while the zone needs few of its slots, and none from
+// kBusyUse on. Requests that wait at home leave slots elsewhere unused. In calm
+// that costs callers nothing; when slots are scarce it costs them their goal.
+constexpr double kIdleWaitShare = 0.9;
+// Shares of the slots that the arrivals of a zone need. Both deployments plan
+// for 0.2, which is 0.3 with the time in slow phases.
+constexpr double kIdleUse = 0.35;
+constexpr double kBusyUse = 0.5;
 
 // Share of the arrivals that may always leave, growth per second while more is
 // needed and decline per second otherwise.
-constexpr double kMinShare = 0.1;
+constexpr double kMinShare = 0.5;
 constexpr double kShareGrowth = 1.0;
 constexpr double kShareDecline = 0.1;
 // The share grows while a request was refused for it this recently.
 constexpr time_span kDenialMemory = std::chrono::milliseconds(100);
 // Crossings that a zone may have saved up: a number, and arrivals of this time.
-constexpr double kMinBurst = 2;
+constexpr double kMinBurst = 4;
 constexpr double kBurstSeconds = 0.1;
 
 }  // namespace
@@ -85,14 +90,14 @@
                                const std::string& zone) {
   if (home == zone)
     return;
-  ++flows_[home].sent;
+  ++flows_[home].sent[zone];
   ++flows_[zone].received;
 }
 
 void zone_overflow::CountEnd(const std::string& home, const std::string& zone) {
   if (home == zone)
     return;
-  --flows_[home].sent;
+  --flows_[home].sent[zone];
   --flows_[zone].received;
 }
 
@@ -113,21 +118,47 @@
     --left->second.waiting;
 }
 
-double zone_overflow::SpareSlots(const std::string& zone,
-                                 monotonic_time now) const {
+double zone_overflow::ExpectedUse(const std::string& zone,
+                                  monotonic_time now) const {
+  return ArrivalRate(zone, now) * ToMilliseconds(holding_time_) / 1000;
+}
+
+double zone_overflow::FreeSpareSlots(const std::string& zone) const {
+  const auto found = states_.find(zone);
+  return found == states_.end()
+             ? 0
+             : found->second.free_slots - found->second.waiting;
+}
+
+double zone_overflow::LaterSpareSlots(const std::string& zone,
+                                      monotonic_time now) const {
   const auto found = states_.find(zone);
   if (found == states_.end())
     return 0;
-  const zone_state& state = found->second;
   // While the arrivals of the next work time come, the slots that are busy now
-  // become free. Of the slots that are free now, the waiting requests take some
-  // at once.
-  const double expected =
-      ArrivalRate(zone, now) * ToMilliseconds(holding_time_) / 1000;
-  const auto flow = flows_.find(zone);
-  const int received = flow == flows_.end() ? 0 : flow->second.received;
-  const double later = state.slots - state.waiting - expected - received;
-  return std::min<double>(state.free_slots - state.waiting, later);
+  // become free.
+  return found->second.slots - found->second.waiting - ExpectedUse(zone, now);
+}
+
+bool zone_overflow::IsSending(const std::string& home,
+                              const std::string& zone) const {
+  const auto flow = flows_.find(home);
+  if (flow == flows_.end())
+    return false;
+  const auto sent = flow->second.sent.find(zone);
+  return sent != flow->second.sent.end() && sent->second > 0;
+}
+
+double zone_overflow::WaitShare(const std::string& home,
+                                monotonic_time now) const {
+  const double busy = (Use(home, now) - kIdleUse) / (kBusyUse - kIdleUse);
+  return kIdleWaitShare * std::clamp(1 - busy, 0.0, 1.0);
+}
+
+double zone_overflow::Use(const std::string& zone, monotonic_time now) const {
+  const auto found = states_.find(zone);
+  const int slots = found == states_.end() ? 0 : found->second.slots;
+  return ExpectedUse(zone, now) / std::max(slots, 1);
 }
 
 time_span zone_overflow::HomeWait(const std::string& home, int ahead) const {
@@ -139,22 +170,24 @@
 std::set<std::string> zone_overflow::Receivers(const std::string& home,
                                                bool is_forced,
                                                monotonic_time now) const {
-  std::map<std::string, double> spare;
+  std::set<std::string> receivers;
   double most = 0;
+  for (const auto& [zone, state] : states_) {
+    if (zone != home && state.endpoints > 0)
+      most = std::max(most, FreeSpareSlots(zone));
+  }
   for (const auto& [zone, state] : states_) {
     if (zone == home || state.endpoints == 0)
       continue;
-    spare[zone] = SpareSlots(zone, now);
-    most = std::max(most, spare[zone]);
-  }
-  std::set<std::string> receivers;
-  for (const auto& [zone, slots] : spare) {
-    const auto flow = flows_.find(zone);
-    const bool is_sending = flow != flows_.end() && flow->second.sent > 0;
+    const double free = FreeSpareSlots(zone);
     // With little spare anywhere, any zone may take a request that has no
     // endpoint at home.
+    // Two zones exchange load only while requests of a busy zone would
+    // otherwise be late; this preserves the pooled capacity of small services.
+    const bool is_exchange = IsSending(zone, home) && Use(home, now) < kBusyUse;
+    const bool has_spare = free >= 1 && LaterSpareSlots(zone, now) > 0;
     const bool receives =
-        is_forced ? most < 1 || slots >= most / 2 : !is_sending && slots >= 1;
+        is_forced ? most < 1 || free >= most / 2 : has_spare && !is_exchange;
     if (receives)
       receivers.insert(zone);
   }
@@ -172,13 +205,17 @@
   const zone_flow& flow = flows_[prospect.home];
   const bool is_learning =
       !flow.first_arrival || now - *flow.first_arrival < kLearningTime;
-  if (is_learning || flow.received > 0)
+  if (is_learning)
     return zone_reason::kHome;
   const time_span home_end = prospect.home_wait + prospect.home_work;
-  const time_span comfortable_wait =
-      FromMilliseconds(ToMilliseconds(prospect.slack) * kComfortableWaitShare);
-  if (home_end <= prospect.goal_left &&
-      prospect.home_wait <= std::max(comfortable_wait, time_span(0)))
+  const bool meets_goal = home_end <= prospect.goal_left;
+  // A zone that receives overflow sends none, unless the request would be late.
+  const bool is_receiving = flow.received > 0;
+  const time_span longest_wait =
+      FromMilliseconds(ToMilliseconds(prospect.slack) *
+                       (is_receiving ? 1 : WaitShare(prospect.home, now)));
+  if (meets_goal && (prospect.home_wait == time_span(0) ||
+                     prospect.home_wait <= longest_wait))
     return zone_reason::kHome;
   zone_reason reason = zone_reason::kHome;
   if (prospect.other_work <= prospect.goal_left) {
@@ -186,13 +223,12 @@
   } else if (home_end - prospect.other_work > prospect.path) {
     reason = zone_reason::kLate;
   }
-  if (reason != zone_reason::kHome && !TakesFromShare(prospect.home, now))
+  if (reason != zone_reason::kHome && !HasShareLeft(prospect.home, now))
     return zone_reason::kHome;
   return reason;
 }
 
-bool zone_overflow::TakesFromShare(const std::string& home,
-                                   monotonic_time now) {
+bool zone_overflow::HasShareLeft(const std::string& home, monotonic_time now) {
   zone_flow& flow = flows_[home];
   if (flow.allowance >= 1)
     return true;
--- a/servers/scheduling/zone_overflow.h
+++ b/servers/scheduling/zone_overflow.h
@@ -28,11 +28,9 @@
 
 // The endpoints and waiting requests of one zone.
 struct zone_state {
-  int endpoints = 0;  // Endpoints that satisfy the constraints, free or not.
-  // Slots of these endpoints that work can use without contention.
-  int slots = 0;
-  int all_slots = 0;
-  int free_slots = 0;  // Slots that are free now, without contention.
+  int endpoints = 0;   // Endpoints that satisfy the constraints, free or not.
+  int slots = 0;       // Of these endpoints.
+  int free_slots = 0;  // Slots that are free now.
   int running = 0;     // Attempts that run on these endpoints.
   int waiting = 0;     // Requests from this zone that wait.
 };
@@ -83,8 +81,10 @@
   // Expected time until a request of `home` gets a slot there while `ahead`
   // requests of that zone wait before it.
   time_span HomeWait(const std::string& home, int ahead) const;
-  // Slots of `zone` that its own callers are not expected to need.
-  double SpareSlots(const std::string& zone, monotonic_time now) const;
+  // Slots of `zone` that its own callers are not expected to need: of those
+  // that are free now, and of all slots during the next work time.
+  double FreeSpareSlots(const std::string& zone) const;
+  double LaterSpareSlots(const std::string& zone, monotonic_time now) const;
   // Returns the zones that take requests of `home`. A zone without an endpoint
   // (`is_forced`) uses the zones with the most spare slots, also when these are
   // needed there.
@@ -102,9 +102,9 @@
     double arrival_rate = 0;  // Moving average, per second.
     monotonic_time updated_at;
     std::optional<monotonic_time> first_arrival;
-    // Attempts of this zone that run elsewhere, and of other zones that run
-    // here. Overflow never makes both positive.
-    int sent = 0;
+    // Attempts of this zone that run elsewhere, by zone, and the number of
+    // attempts of other zones that run here.
+    std::map<std::string, int> sent;
     int received = 0;
     // Share of the arrivals that may leave, and the crossings that it allows
     // now.
@@ -114,9 +114,17 @@
   };
 
   double ArrivalRate(const std::string& zone, monotonic_time now) const;
+  // Number of slots that the arrivals of `zone` are expected to use.
+  double ExpectedUse(const std::string& zone, monotonic_time now) const;
+  // The same as a share of the slots of `zone`.
+  double Use(const std::string& zone, monotonic_time now) const;
+  // Whether attempts of `home` run in `zone`.
+  bool IsSending(const std::string& home, const std::string& zone) const;
+  // Share of the slack that a request of `home` waits for its own zone.
+  double WaitShare(const std::string& home, monotonic_time now) const;
   void UpdateShares(monotonic_time now);
   // Whether the share of `home` permits another crossing.
-  bool TakesFromShare(const std::string& home, monotonic_time now);
+  bool HasShareLeft(const std::string& home, monotonic_time now);
 
   std::map<std::string, zone_state> states_;
   std::map<std::string, zone_flow> flows_;
