--- a/servers/scheduling/zone_overflow.cc
+++ b/servers/scheduling/zone_overflow.cc
@@ -209,8 +209,10 @@
     return zone_reason::kHome;
   const time_span home_end = prospect.home_wait + prospect.home_work;
   const bool meets_goal = home_end <= prospect.goal_left;
-  // A zone that receives overflow sends none, unless the request would be late.
-  const bool is_receiving = flow.received > 0;
+  // A zone that receives overflow sends none unless it is busy or the request
+  // would be late.
+  const bool is_receiving =
+      flow.received > 0 && Use(prospect.home, now) < kBusyUse;
   const time_span longest_wait =
       FromMilliseconds(ToMilliseconds(prospect.slack) *
                        (is_receiving ? 1 : WaitShare(prospect.home, now)));
