--- a/tests/servers/scheduling/zone_load_test.cc
+++ b/tests/servers/scheduling/zone_load_test.cc
@@ -2,6 +2,7 @@
 // that costs callers compared with an owner that sees all zones as one.
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
 #include "tests/servers/scheduling/slot_scheduler_driver.h"
--- a/tests/servers/scheduling/zone_overflow_test.cc
+++ b/tests/servers/scheduling/zone_overflow_test.cc
@@ -2,6 +2,7 @@
 #include "servers/scheduling/zone_overflow.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 #include <CppUTest/TestHarness.h>
@@ -43,7 +44,7 @@
   void RunFor(time_span length, int rate) {
     const monotonic_time end = now + length;
     while (now < end) {
-      now += seconds(1) / rate;
+      now += time_span(seconds(1)) / rate;
       overflow.CountArrival("a", now);
       overflow.SetStates(states, kWork, now);
     }
