--- a/tests/servers/scheduling/zone_load_test.cc
+++ b/tests/servers/scheduling/zone_load_test.cc
@@ -2,6 +2,7 @@
 // that costs callers compared with an owner that sees all zones as one.
 #include <algorithm>
 #include <cmath>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -92,6 +93,55 @@
 
 TEST_GROUP(zone_load){};
 
+// Guards against an endpoint of another zone that is preferred because its
+// report is fresh, while the endpoint at home has not been asked.
+TEST(zone_load, HomeEndpointIsAskedFirst) {
+  std::vector<std::string> probes;
+  std::vector<slot_grant> grants;
+  slot_hooks hooks;
+  hooks.grant = [&](const slot_grant& grant) { grants.push_back(grant); };
+  hooks.reject = [](const slot_rejection&) {};
+  hooks.probe = [&](const endpoint_entry& entry) {
+    probes.push_back(entry.id);
+  };
+  slot_settings settings;
+  settings.probes_per_second = 30;
+  slot_scheduler scheduler(settings, hooks, [] { return 1; });
+  monotonic_time now{seconds(100)};
+  std::vector<endpoint_entry> entries(2);
+  entries[0].id = entries[0].availability_zone = "home";
+  entries[1].id = entries[1].availability_zone = "other";
+  scheduler.SetEndpoints(entries, now);
+  slot_request request;
+  request.work_class = "lookup";
+  request.goal = milliseconds(400);
+  const auto submit = [&](const std::string& zone) {
+    request.availability_zone = zone;
+    ++request.key.number;
+    request.arrival = now;
+    request.deadline = now + seconds(2);
+    scheduler.Submit(request, now);
+  };
+  const endpoint_load fast{0, 0, 1, 1};
+  submit("other");
+  scheduler.ReportProbe("other", fast, now);
+  LONGS_EQUAL(1, grants.size());
+  scheduler.Report(grants[0].request, grants[0].attempt,
+                   attempt_outcome::kAnswered, fast, now);
+  probes.clear();
+  submit("home");
+  LONGS_EQUAL(1, grants.size());
+  LONGS_EQUAL(1, probes.size());
+  STRCMP_EQUAL("home", probes[0].c_str());
+  now += milliseconds(4);
+  scheduler.ReportProbe("home", fast, now);
+  LONGS_EQUAL(2, grants.size());
+  STRCMP_EQUAL("home", grants[1].endpoint.id.c_str());
+  CHECK(grants[1].zone == zone_reason::kHome);
+  LONGS_EQUAL(2, scheduler.counters().home_zone_grants);
+  LONGS_EQUAL(0, scheduler.counters().other_zone_grants);
+}
+
 // Guards against requests that leave their zone in calm. Before zones were
 // compared first, more than half of the grants did.
 TEST(zone_load, CalmSmallServiceStaysHome) {
