Count only status checks that help a request

Checks in zones that a request may not use counted against the number that it may have pending, and it waited for their reports.

--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -610,9 +610,16 @@
 bool slot_scheduler::ProbeCandidates(std::vector<choice> choices,
                                      std::vector<candidate>& free,
                                      monotonic_time now) {
+  // Probes in zones that the request may not use do not help it.
+  std::set<std::string> zones;
+  for (const auto& [cost, index] : choices)
+    zones.insert(free[index].endpoint->entry().availability_zone);
   std::size_t outstanding = 0;
-  for (const candidate& each : free)
-    outstanding += each.forecast.is_probing ? 1 : 0;
+  for (const candidate& each : free) {
+    const bool is_useful =
+        zones.count(each.endpoint->entry().availability_zone) > 0;
+    outstanding += each.forecast.is_probing && is_useful ? 1 : 0;
+  }
   const std::size_t wanted =
       std::min(kMaxConcurrentProbes, waiting_.size() * kProbesPerRequest);
   std::sort(choices.begin(), choices.end());
