--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -229,7 +229,8 @@
        {"holder", grant.request.entry_vm},
        {"shard", shard.Name()},
        {"endpoint", grant.endpoint.id},
-       {"hedge", grant.is_hedge ? "true" : "false"}});
+       {"hedge", grant.is_hedge ? "true" : "false"},
+       {"zone", ToString(grant.zone)}});
   const network_address self = directory_->self().peer_address;
   if (grant.request.entry_vm == self.ToString()) {
     // Posted because a hook must not call the scheduler before the scheduler
@@ -729,6 +730,8 @@
     sum.warm_up_deferrals += each.warm_up_deferrals;
     sum.return_retries += each.return_retries;
     sum.withheld_retries += each.withheld_retries;
+    sum.home_zone_grants += each.home_zone_grants;
+    sum.other_zone_grants += each.other_zone_grants;
   }
   return sum;
 }
