Permit repeats of downloads, and read the speed of the link

The route kind "download" was treated as once-only, so a download that its endpoint broke off was answered 502 and never hedged. It now has a rule of its own, and PermitsRepeats is the one place that says which rules permit repeats. limits.link_mbps of the platform's settings becomes link_bytes_per_second.

--- a/modules/entry_gateway/request_run.h
+++ b/modules/entry_gateway/request_run.h
@@ -98,7 +98,7 @@
   void Stop(request_outcome end, std::string_view reason);
   void CancelAttempts();
   std::string MakeHeader(const slot_grant& grant) const;
-  bool MayRepeat() const { return plan_.repeat == repeat_rule::kIdempotent; }
+  bool MayRepeat() const { return PermitsRepeats(plan_.repeat); }
 
   const request_services& services_;
   caller_request request_;
--- a/servers/routing/desired_state.h
+++ b/servers/routing/desired_state.h
@@ -19,8 +19,12 @@
   kIdempotent,  // A request may run more than once.
   kOnceOnly,    // A request runs at most once per attempt of the caller.
   kUpload,      // As kOnceOnly, with a large request body.
+  kDownload,    // As kIdempotent, with a large response.
 };
 
+// Whether requests of `rule` may run more than once.
+bool PermitsRepeats(repeat_rule rule);
+
 // Returns the name of `rule` for logs and metrics.
 const char* ToString(repeat_rule rule);
 
--- a/servers/settings/entry_settings.h
+++ b/servers/settings/entry_settings.h
@@ -37,6 +37,9 @@
   std::size_t memory_limit_bytes = 256 * 1024 * 1024;
   std::size_t descriptor_limit = 4096;
 
+  // Speed of the link of this VM; 0 when unknown.
+  std::uint64_t link_bytes_per_second = 0;
+
   // Time between SIGTERM and SIGKILL.
   time_span shutdown_grace = std::chrono::seconds(6);
   // Maximum time for which callers may cache a lookup response.
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -19,7 +19,7 @@
     "listen.readiness=10.1.0.18:8388\nlisten.control=10.1.0.18:8382\n"
     "listen.directory=10.1.0.18:8383\nport_range=7200,7215\n"
     "seeds=10.1.0.18:8382,10.2.0.34:8382\nlimits.cpu_share=0.2\n"
-    "limits.memory_mb=260\nnew.field=x\n"
+    "limits.memory_mb=260\nlimits.link_mbps=10\nnew.field=x\n"
     "bounds=grace=6s,retry_ratio=0.2,retry_window=10s,retry_slack=58,"
     "probes_per_s=60\nplatform.address=10.200.1.7:8384\n";
 
@@ -39,11 +39,32 @@
   LONGS_EQUAL(7201, settings->metrics_listen.port);
   LONGS_EQUAL(2, settings->peer_seeds.size());
   LONGS_EQUAL(200, settings->capacity);
+  LONGS_EQUAL(1'250'000, settings->link_bytes_per_second);
   CHECK(settings->shutdown_grace == std::chrono::seconds(6));
   DOUBLES_EQUAL(0.2, settings->repeat_ratio, 0.0001);
   DOUBLES_EQUAL(60, settings->probes_per_second, 0.0001);
 }
 
+// Guards against a link speed that is out of range or taken for a number when
+// the platform states none.
+TEST(platform, LinkSpeed) {
+  const auto speed = [](const std::string& line) {
+    std::string text = kSettings;
+    const std::string old = "limits.link_mbps=10\n";
+    text.replace(text.find(old), old.size(), line);
+    const tl::expected<entry_settings, platform_settings_error> settings =
+        ReadPlatformSettings(text);
+    CHECK_TEXT(settings.has_value(), line.c_str());
+    return settings->link_bytes_per_second;
+  };
+  LONGS_EQUAL(0, speed(""));
+  LONGS_EQUAL(0, speed("limits.link_mbps=\n"));
+  LONGS_EQUAL(0, speed("limits.link_mbps=0\n"));
+  LONGS_EQUAL(0, speed("limits.link_mbps=-5\n"));
+  LONGS_EQUAL(25'000'000, speed("limits.link_mbps=200\n"));
+  CHECK(speed("limits.link_mbps=1e300\n") <= (1ULL << 50));
+}
+
 // Guards against a process that starts with an address it cannot read.
 TEST(platform, SettingsErrorsNameTheField) {
   std::string text = kSettings;
@@ -89,6 +110,27 @@
   STRCMP_EQUAL("/health", state->services.at("s1").status_check_path.c_str());
 }
 
+// Guards against downloads that are treated as once-only, and against other
+// kinds that are repeated.
+TEST(platform, OnlyIdempotentAndDownloadRoutesPermitRepeats) {
+  const auto rule = [](const std::string& kind) {
+    std::string text = kState;
+    text.replace(text.find("new_kind"), 8, kind);
+    const tl::expected<desired_state, malformed_entry> state =
+        DecodeDesiredState(text);
+    CHECK_TEXT(state.has_value(), kind.c_str());
+    return state->routes[1].repeat;
+  };
+  CHECK(rule("download") == repeat_rule::kDownload);
+  STRCMP_EQUAL("download", ToString(rule("download")));
+  CHECK(PermitsRepeats(rule("download")));
+  CHECK(PermitsRepeats(rule("idempotent")));
+  for (const char* const kind :
+       {"upload", "non_idempotent", "Download", "downloads", "other"}) {
+    CHECK_FALSE_TEXT(PermitsRepeats(rule(kind)), kind);
+  }
+}
+
 // Guards against a forged or cut desired state that ends the process or is
 // put in force.
 TEST(platform, CutDesiredStateIsUnreadable) {
