Tell the transfer of a response from the work of its endpoint

The owner took the whole time in a slot for work. Over 10 Mbit/s a response of 540 KB adds 432 ms, more on a busy link: endpoints then counted as slow, and the usual work of the route grew with the links of the VMs that hold the requests.

The holder measures the time from the first byte of the body to the end of the response and reports it with the bytes of the body (kReport), and while a long transfer runs (kTransferStart). The owner counts only the time before it as work, learns the size per work class, and delays hedges by the expected time of the transfer over the holder's link, which kSubmit carries. A hedge whose response could not arrive in time is not sent. kFormatVersion is 3.

--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -38,6 +38,10 @@
 // remembers. One new connection in this many refusals costs next to nothing.
 constexpr std::size_t kMaxRememberedRefusals = 64;
 
+// Shorter transfers are not notified while they run, which keeps messages to
+// owners few. Work takes several times as long.
+constexpr time_span kMinNotifiedTransfer = std::chrono::milliseconds(20);
+
 constexpr unsigned kMisdirectedStatus = 421;
 constexpr unsigned kFirstServerErrorStatus = 500;
 constexpr unsigned kFirstFinalStatus = 200;
@@ -182,6 +186,8 @@
   limits.body_bytes = memory_->single_limit();
   limits.is_head = exchange_.is_head;
   reader_.Start(limits);
+  transfer_started_at_.reset();
+  has_notified_transfer_ = false;
   share_ = std::make_shared<answer_share>(memory_, exchange_.endpoint_id,
                                           [this] { EndLaterForMemory(); });
   OnState(reader_.Parse());
@@ -204,11 +210,28 @@
       is_complete ? boost::asio::mutable_buffer() : reader_.Prepare();
   if (!share_->Resize(reader_.held_bytes()))
     return Discard(std::string(kNoMemory));
+  WatchTransfer(is_complete);
   if (is_complete)
     return HandleAnswer();
   ReadSome(next);
 }
 
+void endpoint_connection::WatchTransfer(bool is_complete) {
+  if (reader_.body_bytes() == 0)
+    return;
+  const monotonic_time now = event_loop::Now();
+  if (!transfer_started_at_)
+    transfer_started_at_ = now;
+  const answer_transfer so_far{reader_.body_bytes(),
+                               now - *transfer_started_at_};
+  const bool is_due = !is_complete && !has_notified_transfer_ &&
+                      so_far.elapsed >= kMinNotifiedTransfer;
+  if (!is_due || IsForOtherExchange())
+    return;
+  has_notified_transfer_ = true;
+  exchange_.on_transfer(so_far);
+}
+
 void endpoint_connection::EndLaterForMemory() {
   boost::asio::post(stream_.get_executor(), [self = shared_from_this(),
                                              share = std::weak_ptr(share_)] {
@@ -339,6 +362,10 @@
     if (load != answer.end())
       result.load = contract_.read_load(ToStringView(load->value()));
     UpdateIdleDeadline(answer);
+    if (transfer_started_at_) {
+      result.transfer = {reader_.body_bytes(),
+                         event_loop::Now() - *transfer_started_at_};
+    }
     result.response = reader_.Release();
     result.memory = std::move(share_);
     has_carried_exchange_ = true;
--- a/modules/endpoint_link/endpoint_connection.h
+++ b/modules/endpoint_link/endpoint_connection.h
@@ -54,6 +54,8 @@
   void Read();
   void ReadSome(const boost::asio::mutable_buffer& buffer);
   void OnState(answer_state state);
+  // Records the start of the answer's body, and notifies of a long transfer.
+  void WatchTransfer(bool is_complete);
   void HandleAnswer();
   // Reads on after an answer that is not the one to this exchange.
   void Skip();
@@ -79,6 +81,9 @@
   const std::shared_ptr<answer_memory> memory_;
   std::shared_ptr<answer_share> share_;  // Of the answer in `reader_`.
   const endpoint_leaving_hook on_leaving_;
+  // When a part of the body of the answer in `reader_` first arrived.
+  std::optional<monotonic_time> transfer_started_at_;
+  bool has_notified_transfer_ = false;
   int skipped_ = 0;  // Answers to other exchanges, and interim answers.
   endpoint_exchange exchange_;
   endpoint_callback done_;  // Set while an exchange runs.
--- a/modules/endpoint_link/endpoint_exchange.h
+++ b/modules/endpoint_link/endpoint_exchange.h
@@ -32,6 +32,10 @@
   // Whether the endpoint may still get the request. Asked once a new connection
   // is open, which may take long.
   std::function<bool()> may_send = [] { return true; };
+  // Called at most once, while the answer's body arrives, if that takes long.
+  // It must not end the exchange before it returns.
+  std::function<void(const answer_transfer& so_far)> on_transfer =
+      [](const answer_transfer&) {};
   // The exchange fails when it has no answer by this time.
   monotonic_time deadline;
 };
@@ -46,6 +50,8 @@
   // What `response` holds of the memory for answers; kept as long as it.
   std::shared_ptr<const answer_share> memory;
   std::optional<endpoint_load> load;
+  // Only for a complete answer with a body.
+  std::optional<answer_transfer> transfer;
   bool has_timed_out = false;
   bool was_reused = false;  // Sent on a pooled connection.
   // Cause of a failure, for logs; empty otherwise.
--- a/modules/entry_gateway/entry_gateway.cc
+++ b/modules/entry_gateway/entry_gateway.cc
@@ -497,6 +497,10 @@
                static_cast<double>(slots.grants));
   sink.Counter("papayakeel_hedges_total", "Hedges granted as owner", {},
                static_cast<double>(slots.hedges));
+  sink.Counter("papayakeel_late_hedges_total",
+               "Hedges withheld as owner, because their responses would arrive "
+               "too late",
+               {}, static_cast<double>(slots.late_hedges));
   sink.Counter("papayakeel_retries_total", "Retries granted as owner", {},
                static_cast<double>(slots.retries));
   sink.Counter("papayakeel_probes_total", "Status checks made as owner", {},
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -137,6 +137,11 @@
   exchange.header = MakeHeader(grant);
   exchange.body = body_;
   exchange.request_id = plan_.caller_id;
+  exchange.on_transfer = [slots = services_.slots, number = number_,
+                          attempt =
+                              grant.attempt](const answer_transfer& so_far) {
+    slots->ReportTransferStart(number, attempt, so_far);
+  };
   exchange.is_head = request_.message.method() == http::verb::head;
   exchange.deadline = plan_.deadline + kTimeoutResponseAllowance;
   attempts_[grant.attempt] = services_.endpoints->Begin(
@@ -158,7 +163,8 @@
          {"detail", result.detail}});
   }
   may_have_run_ |= !IsCertainlyNotRun(result.outcome);
-  services_.slots->Report(number_, attempt, result.outcome, result.load);
+  services_.slots->Report(number_, attempt, result.outcome, result.load,
+                          result.transfer);
   // No retry for a disconnected caller.
   if (is_caller_disconnected_ && result.outcome != attempt_outcome::kAnswered)
     return Stop(request_outcome::kCallerDisconnected, "caller_gone");
--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -61,6 +61,10 @@
   std::size_t held_bytes() const {
     return parsed_bytes_ + (is_complete() ? 0 : buffer_.capacity());
   }
+  // Bytes of the answer's body that have arrived.
+  std::size_t body_bytes() const {
+    return parser_ ? parser_->get().body().size() : 0;
+  }
   // The cause of kBroken.
   const std::string& error() const { return error_; }
 
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -296,6 +296,7 @@
   const std::uint64_t number = next_number_++;
   request.key.entry_vm = directory_->self().peer_address.ToString();
   request.key.number = number;
+  request.link_bytes_per_second = settings_.link_bytes_per_second;
   held_request& held = held_[number];
   held.shard = shard;
   held.request = std::move(request);
@@ -325,7 +326,8 @@
 void slot_link::Report(std::uint64_t number,
                        std::uint64_t attempt,
                        attempt_outcome outcome,
-                       const std::optional<endpoint_load>& load) {
+                       const std::optional<endpoint_load>& load,
+                       const std::optional<answer_transfer>& transfer) {
   const auto found = held_.find(number);
   if (found == held_.end())
     return;
@@ -345,6 +347,21 @@
   message.attempt = attempt;
   message.outcome = outcome;
   message.load = load;
+  message.transfer = transfer;
+  SendToOwner(held.owner, message);
+}
+
+void slot_link::ReportTransferStart(std::uint64_t number,
+                                    std::uint64_t attempt,
+                                    const answer_transfer& so_far) {
+  const auto found = held_.find(number);
+  if (found == held_.end())
+    return;
+  const held_request& held = found->second;
+  slot_message message = MakeMessage(slot_message_type::kTransferStart,
+                                     held.shard, held.request.key);
+  message.attempt = attempt;
+  message.transfer = so_far;
   SendToOwner(held.owner, message);
 }
 
@@ -490,6 +507,11 @@
       work_text += (work_text.empty() ? "" : " ") + work_class + "=" +
                    std::to_string(std::lround(ToMilliseconds(usual_time)));
     }
+    std::string answer_text;
+    for (const auto& [work_class, bytes] : sum.answer_bytes) {
+      answer_text += (answer_text.empty() ? "" : " ") + work_class + "=" +
+                     std::to_string(bytes);
+    }
     Log(log_level::kInfo, "shard_state",
         {{"shard", shard.Name()},
          {"requests", std::to_string(sum.requests)},
@@ -503,7 +525,8 @@
          {"crowding", std::to_string(sum.contention_factor)},
          {"holding_ms",
           std::to_string(std::lround(ToMilliseconds(sum.mean_holding_time)))},
-         {"usual_work_ms", work_text}});
+         {"usual_work_ms", work_text},
+         {"answer_bytes", answer_text}});
   }
 }
 
@@ -583,6 +606,7 @@
     case slot_message_type::kAdopt:
     case slot_message_type::kReport:
     case slot_message_type::kCancel:
+    case slot_message_type::kTransferStart:
       OnOwnerMessage(message);
       return;
     case slot_message_type::kQueued:
@@ -605,7 +629,12 @@
                         message.leaving_endpoint->started_unix_ms,
                         key.entry_vm);
     }
-    scheduler.Report(key, message.attempt, message.outcome, message.load, now);
+    scheduler.Report(key, message.attempt, message.outcome, message.load, now,
+                     message.transfer);
+  } else if (message.type == slot_message_type::kTransferStart) {
+    scheduler.ReportTransferStart(
+        key, message.attempt,
+        now - message.transfer.value_or(answer_transfer()).elapsed, now);
   } else if (message.type == slot_message_type::kCancel) {
     scheduler.Cancel(key, now);
   } else if (scheduler.IsKnown(key)) {
@@ -666,6 +695,7 @@
     sum.requests += each.requests;
     sum.grants += each.grants;
     sum.hedges += each.hedges;
+    sum.late_hedges += each.late_hedges;
     sum.retries += each.retries;
     sum.probes += each.probes;
     sum.rejections += each.rejections;
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -59,11 +59,17 @@
   std::uint64_t Acquire(const std::string& service_name,
                         slot_request request,
                         slot_client_hooks hooks);
-  // Reports to the owner that an attempt of the request has ended.
+  // Reports to the owner that an attempt of the request has ended. `transfer`
+  // is set for a complete response with a body.
   void Report(std::uint64_t number,
               std::uint64_t attempt,
               attempt_outcome outcome,
-              const std::optional<endpoint_load>& load);
+              const std::optional<endpoint_load>& load,
+              const std::optional<answer_transfer>& transfer = std::nullopt);
+  // Reports to the owner that the body of an attempt's response is arriving.
+  void ReportTransferStart(std::uint64_t number,
+                           std::uint64_t attempt,
+                           const answer_transfer& so_far);
   // Releases the request. The caller has already cancelled its running
   // attempts.
   void End(std::uint64_t number);
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -2,6 +2,7 @@
 // small.
 #include "modules/slot_link/slot_message.h"
 
+#include <algorithm>
 #include <cstdint>
 
 #include <nlohmann/json.hpp>
@@ -15,11 +16,17 @@
 using nlohmann::json;
 
 // Incremented when the layout changes. Other versions are rejected.
-constexpr int kFormatVersion = 2;
-constexpr int kLastType = static_cast<int>(slot_message_type::kCancel);
+constexpr int kFormatVersion = 3;
+constexpr int kLastType = static_cast<int>(slot_message_type::kTransferStart);
 constexpr int kLastReason = static_cast<int>(slot_refusal::kAttemptsFailed);
 constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kCancelled);
 
+// Bounds of what a message may state about a response and a link. Larger values
+// would overflow sums and conversions.
+constexpr std::uint64_t kMaxAnswerBytes = 1ULL << 50;
+constexpr std::uint64_t kMaxLinkSpeed = 1ULL << 50;
+constexpr std::int64_t kMaxTransferMicroseconds = 86'400'000'000;
+
 std::int64_t Microseconds(time_span span) {
   return std::chrono::duration_cast<std::chrono::microseconds>(span).count();
 }
@@ -34,7 +41,31 @@
        request.importance, request.may_repeat, request.max_attempts,
        request.earlier_attempts, request.bytes, Microseconds(request.goal),
        Microseconds(now - request.arrival),
-       Microseconds(request.deadline - now), request.was_counted});
+       Microseconds(request.deadline - now), request.was_counted,
+       request.link_bytes_per_second});
+}
+
+// Reads a whole number from 0 to `most`.
+std::uint64_t ReadUnsigned(const json& value, std::uint64_t most) {
+  const bool is_valid =
+      value.is_number_unsigned() && value.get<std::uint64_t>() <= most;
+  if (!is_valid)
+    throw json::out_of_range::create(401, "number", nullptr);
+  return value.get<std::uint64_t>();
+}
+
+json EncodeTransfer(const answer_transfer& transfer) {
+  const std::int64_t elapsed = std::clamp<std::int64_t>(
+      Microseconds(transfer.elapsed), 0, kMaxTransferMicroseconds);
+  return json::array({transfer.bytes, static_cast<std::uint64_t>(elapsed)});
+}
+
+answer_transfer DecodeTransfer(const json& fields) {
+  answer_transfer transfer;
+  transfer.bytes = ReadUnsigned(fields.at(0), kMaxAnswerBytes);
+  transfer.elapsed = std::chrono::microseconds(
+      ReadUnsigned(fields.at(1), kMaxTransferMicroseconds));
+  return transfer;
 }
 
 void DecodeRequest(const json& fields,
@@ -52,6 +83,7 @@
   request.arrival = now - FromMicroseconds(fields.at(9));
   request.deadline = now + FromMicroseconds(fields.at(10));
   request.was_counted = fields.at(11).get<bool>();
+  request.link_bytes_per_second = ReadUnsigned(fields.at(12), kMaxLinkSpeed);
 }
 
 service_shard DecodeShard(const json& fields) {
@@ -99,6 +131,8 @@
     case slot_message_type::kReport:
       fields.push_back(message.attempt);
       fields.push_back(static_cast<int>(message.outcome));
+      fields.push_back(message.transfer ? EncodeTransfer(*message.transfer)
+                                        : json(nullptr));
       if (message.load) {
         fields.push_back({message.load->running, message.load->waiting,
                           message.load->slots, message.load->slowdown});
@@ -110,6 +144,11 @@
                           message.leaving_endpoint->started_unix_ms});
       }
       break;
+    case slot_message_type::kTransferStart:
+      fields.push_back(message.attempt);
+      fields.push_back(
+          EncodeTransfer(message.transfer.value_or(answer_transfer())));
+      break;
     case slot_message_type::kQueued:
     case slot_message_type::kCancel:
       break;
@@ -157,18 +196,24 @@
         message.attempt = fields.at(5).get<std::uint64_t>();
         message.outcome = static_cast<attempt_outcome>(
             ReadEnumerator(fields.at(6), kLastOutcome));
-        if (fields.size() > 7 && !fields.at(7).is_null()) {
-          const json& load = fields.at(7);
+        if (!fields.at(7).is_null())
+          message.transfer = DecodeTransfer(fields.at(7));
+        if (fields.size() > 8 && !fields.at(8).is_null()) {
+          const json& load = fields.at(8);
           message.load =
               endpoint_load{load.at(0).get<int>(), load.at(1).get<int>(),
                             load.at(2).get<int>(), load.at(3).get<double>()};
         }
-        if (fields.size() > 8) {
-          const json& leaving = fields.at(8);
+        if (fields.size() > 9) {
+          const json& leaving = fields.at(9);
           message.leaving_endpoint = {leaving.at(0).get<std::string>(),
                                       leaving.at(1).get<std::uint64_t>()};
         }
         break;
+      case slot_message_type::kTransferStart:
+        message.attempt = fields.at(5).get<std::uint64_t>();
+        message.transfer = DecodeTransfer(fields.at(6));
+        break;
       case slot_message_type::kQueued:
       case slot_message_type::kCancel:
         break;
--- a/modules/slot_link/slot_message.h
+++ b/modules/slot_link/slot_message.h
@@ -23,6 +23,9 @@
   kReject,
   kReport,  // An attempt has ended.
   kCancel,  // The request no longer needs a slot.
+  // The body of an attempt's response is arriving. Not sent for short
+  // transfers, and not resent: the report has the transfer time.
+  kTransferStart,
 };
 
 // One start of an endpoint.
@@ -35,13 +38,15 @@
   slot_message_type type = slot_message_type::kSubmit;
   service_shard shard;
   slot_request request;       // Submit, adopt; others: only its key.
-  std::uint64_t attempt = 0;  // Adopt, grant, report.
+  std::uint64_t attempt = 0;  // Adopt, grant, report, transfer start.
   std::string endpoint_id;    // Adopt, grant.
   bool is_hedge = false;      // Grant.
   slot_refusal reason = slot_refusal::kNoEndpoint;     // Reject.
   time_span retry_after{0};                            // Reject.
   attempt_outcome outcome = attempt_outcome::kBroken;  // Report.
   std::optional<endpoint_load> load;                   // Report.
+  // Report; transfer start: what has arrived so far.
+  std::optional<answer_transfer> transfer;
   // Report: the attempt's endpoint, if it has announced that it leaves.
   std::optional<endpoint_start> leaving_endpoint;
 };
--- a/servers/scheduling/attempt_outcome.h
+++ b/servers/scheduling/attempt_outcome.h
@@ -1,9 +1,13 @@
-// Outcome of an attempt at an endpoint and the load that the endpoint reported.
+// Outcome of an attempt at an endpoint, the load that the endpoint reported and
+// the transfer of its response.
 #ifndef SERVERS_SCHEDULING_ATTEMPT_OUTCOME_H_
 #define SERVERS_SCHEDULING_ATTEMPT_OUTCOME_H_
 
+#include <cstdint>
 #include <optional>
 
+#include "core/monotonic_time.h"
+
 namespace papayakeel {
 
 enum class attempt_outcome {
@@ -32,6 +36,15 @@
   double slowdown = 1;
 };
 
+// Transfer of a complete response to the entry VM that holds the request.
+struct answer_transfer {
+  std::uint64_t bytes = 0;  // Size of the response body.
+  // Time from the first byte of the body to the end of the response. The
+  // endpoint's work has ended when the body begins; its slot is in use until
+  // the response is written.
+  time_span elapsed{0};
+};
+
 }  // namespace papayakeel
 
 #endif  // SERVERS_SCHEDULING_ATTEMPT_OUTCOME_H_
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -133,6 +133,12 @@
   running_[attempt] = started;
 }
 
+void endpoint_slots::BeginTransfer(std::uint64_t attempt, monotonic_time at) {
+  const auto found = running_.find(attempt);
+  if (found != running_.end())
+    found->second.work_ended_at = std::max(at, found->second.started);
+}
+
 bool endpoint_slots::IsNearlyFull(monotonic_time now) const {
   return entry_.slots > 1 && BusySlots(now) + 1 >= entry_.slots;
 }
@@ -145,8 +151,8 @@
   if (found == running_.end())
     return std::nullopt;
   const running_attempt run = found->second;
-  const ended_attempt ended{now - run.started, run.has_last_slot,
-                            run.is_at_usual_speed};
+  const ended_attempt ended{now - run.started, run.WorkedFor(now),
+                            run.has_last_slot, run.is_at_usual_speed};
   if (run.started < load_requested_at_)
     ++ended_since_load_;
   running_.erase(found);
@@ -162,7 +168,7 @@
   }
   // A cancelled attempt would have taken at least this long.
   const double ratio =
-      ToMilliseconds(ended.elapsed) / ToMilliseconds(run.expected);
+      ToMilliseconds(ended.work) / ToMilliseconds(run.expected);
   if (outcome == attempt_outcome::kCancelled && ratio < kStragglerRatio)
     return ended;
   if (outcome == attempt_outcome::kAnswered)
@@ -243,7 +249,7 @@
                                 ToMilliseconds(kObservedSlowdownTimeConstant));
   double slowdown = 1 + (observed_slowdown_ - 1) * decay;
   for (const auto& [id, attempt] : running_) {
-    const double ratio = ToMilliseconds(now - attempt.started) /
+    const double ratio = ToMilliseconds(attempt.WorkedFor(now)) /
                          ToMilliseconds(attempt.expected);
     if (ratio > kStragglerRatio)
       slowdown =
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -64,8 +64,13 @@
              time_span work,
              double contention_factor,
              monotonic_time now);
+  // The endpoint's work on the attempt ended at `at`, when the body of its
+  // response began to arrive. The attempt holds its slot until it ends, but the
+  // transfer does not count towards the speed of the endpoint.
+  void BeginTransfer(std::uint64_t attempt, monotonic_time at);
   struct ended_attempt {
-    time_span elapsed{0};
+    time_span elapsed{0};        // Time in the slot, with the transfer.
+    time_span work{0};           // Time until the transfer began.
     bool had_last_slot = false;  // It took the last slot.
     // At the start of the attempt the endpoint had recently reported its usual
     // speed, or it had no report.
@@ -96,8 +101,13 @@
 
  private:
   struct running_attempt {
+    time_span WorkedFor(monotonic_time now) const {
+      return work_ended_at.value_or(now) - started;
+    }
+
     monotonic_time started;
-    time_span expected{1};  // By reports and contention.
+    std::optional<monotonic_time> work_ended_at;  // The transfer has begun.
+    time_span expected{1};                        // By reports and contention.
     bool has_last_slot = false;
     bool is_at_usual_speed = false;
   };
--- a/servers/scheduling/slot_request.h
+++ b/servers/scheduling/slot_request.h
@@ -37,7 +37,9 @@
   // An earlier owner already counted the request in its retry budget.
   bool was_counted = false;
   std::size_t bytes = 0;  // Size of the request body.
-  time_span goal{0};      // Response time goal, counted from the arrival.
+  // Speed of the entry VM's link; 0 when unknown.
+  std::uint64_t link_bytes_per_second = 0;
+  time_span goal{0};  // Response time goal, counted from the arrival.
   monotonic_time arrival;
   monotonic_time deadline;  // Later responses are useless to the caller.
 };
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "servers/scheduling/hedge_rule.h"
+
 namespace papayakeel {
 
 namespace {
@@ -33,8 +35,6 @@
 constexpr int kProbesPerRequest = 3;
 constexpr std::size_t kMaxConcurrentProbes = 32;
 
-// A hedge is due after this multiple of the usual time of the request.
-constexpr double kHedgeDelayFactor = 1.5;
 // Retry interval of a hedge that could not be queued when it was due.
 constexpr time_span kHedgeRetryInterval = std::chrono::milliseconds(30);
 
@@ -223,7 +223,8 @@
                             std::uint64_t attempt,
                             attempt_outcome outcome,
                             const std::optional<endpoint_load>& load,
-                            monotonic_time now) {
+                            monotonic_time now,
+                            const std::optional<answer_transfer>& transfer) {
   const auto found = requests_.find(key);
   if (found == requests_.end())
     return;
@@ -234,7 +235,13 @@
   const time_span work = UsualWork(record.request);
   const auto endpoint = endpoints_.find(running->second.endpoint_id);
   record.running.erase(running);
+  if (transfer && outcome == attempt_outcome::kAnswered) {
+    answer_sizes_[record.request.work_class].Add(
+        *transfer, record.request.link_bytes_per_second);
+  }
   if (endpoint != endpoints_.end()) {
+    if (transfer)
+      endpoint->second.BeginTransfer(attempt, now - transfer->elapsed);
     const std::optional<endpoint_slots::ended_attempt> ended =
         endpoint->second.End(attempt, outcome, now);
     if (load)
@@ -271,12 +278,34 @@
   PlaceWaitingRequests(now);
 }
 
+void slot_scheduler::ReportTransferStart(const request_key& key,
+                                         std::uint64_t attempt,
+                                         monotonic_time started_at,
+                                         monotonic_time now) {
+  const auto found = requests_.find(key);
+  if (found == requests_.end())
+    return;
+  request_record& record = found->second;
+  const auto running = record.running.find(attempt);
+  if (running == record.running.end())
+    return;
+  const auto endpoint = endpoints_.find(running->second.endpoint_id);
+  if (endpoint != endpoints_.end())
+    endpoint->second.BeginTransfer(attempt, started_at);
+  // A hedge would now only help if the endpoint stops in the transfer.
+  const bool has_hedge_due = hedges_due_.count({record.hedge_at, key}) > 0;
+  if (has_hedge_due || (record.is_waiting && record.wants_hedge)) {
+    Dequeue(record);
+    ScheduleHedge(record, now);
+  }
+}
+
 void slot_scheduler::UpdateWorkEstimate(
     const std::string& work_class,
     time_span work,
     const endpoint_slots::ended_attempt& ended) {
   const double ratio =
-      ToMilliseconds(ended.elapsed) / std::max(ToMilliseconds(work), 1.0);
+      ToMilliseconds(ended.work) / std::max(ToMilliseconds(work), 1.0);
   if (ended.had_last_slot) {
     contended_ratio_.Add(Scale(kRatioUnit, ratio));
     return;
@@ -284,7 +313,7 @@
   uncontended_ratio_.Add(Scale(kRatioUnit, ratio));
   const auto estimate = estimates_.find(work_class);
   if (estimate != estimates_.end())
-    estimate->second.Add(ended.elapsed);
+    estimate->second.Add(ended.work);
 }
 
 void slot_scheduler::Cancel(const request_key& key, monotonic_time now) {
@@ -383,6 +412,14 @@
                                   monotonic_time now) {
   if (record.wants_hedge && !repeats_.CanRepeat(now))
     return false;
+  // Without a running attempt, the queued hedge serves as the retry.
+  if (record.wants_hedge && !record.running.empty() &&
+      !CanHedgeInTime(UsualWork(record.request), TransferTime(record.request),
+                      record.request.deadline - now)) {
+    ++counters_.late_hedges;
+    Dequeue(record);
+    return false;
+  }
   const double contention_factor = ContentionFactor();
   std::vector<std::pair<time_span, std::size_t>> choices;
   for (std::size_t index = 0; index < free.size(); ++index) {
@@ -515,10 +552,7 @@
   endpoint.Start(attempt, work, ContentionFactor(), now);
   if (record.request.may_repeat && !is_hedge &&
       record.attempts < record.request.max_attempts) {
-    hedges_due_.erase({record.hedge_at, record.request.key});
-    record.hedge_at =
-        now + std::chrono::duration_cast<time_span>(work * kHedgeDelayFactor);
-    hedges_due_.insert({record.hedge_at, record.request.key});
+    ScheduleHedge(record, now);
   }
   hooks_.grant({record.request.key, record.request.caller_id, attempt,
                 endpoint.entry(), is_hedge});
@@ -576,6 +610,13 @@
   queue_keys_.erase(found);
 }
 
+void slot_scheduler::ScheduleHedge(request_record& record, monotonic_time now) {
+  hedges_due_.erase({record.hedge_at, record.request.key});
+  record.hedge_at =
+      now + HedgeDelay(UsualWork(record.request), TransferTime(record.request));
+  hedges_due_.insert({record.hedge_at, record.request.key});
+}
+
 void slot_scheduler::CheckHedges(monotonic_time now) {
   while (!hedges_due_.empty() && hedges_due_.begin()->first <= now) {
     const request_key key = hedges_due_.begin()->second;
@@ -583,6 +624,12 @@
     request_record& record = requests_.at(key);
     if (record.is_waiting || record.running.size() != 1)
       continue;
+    // The time left only shrinks.
+    if (!CanHedgeInTime(UsualWork(record.request), TransferTime(record.request),
+                        record.request.deadline - now)) {
+      ++counters_.late_hedges;
+      continue;
+    }
     // A hedge is queued only while no other request waits.
     if (waiting_.empty() && HasIdleCapacity(now) && repeats_.CanRepeat(now)) {
       Enqueue(record, true, now);
@@ -688,7 +735,7 @@
 
 monotonic_time slot_scheduler::LatestStart(const slot_request& request) const {
   return request.arrival + request.goal -
-         Scale(UsualWork(request), kGoalMarginFactor);
+         Scale(UsualWork(request), kGoalMarginFactor) - TransferTime(request);
 }
 
 double slot_scheduler::ContentionFactor() const {
@@ -754,6 +801,13 @@
   return FirstEstimate(request);
 }
 
+time_span slot_scheduler::TransferTime(const slot_request& request) const {
+  const auto found = answer_sizes_.find(request.work_class);
+  return found == answer_sizes_.end()
+             ? time_span(0)
+             : found->second.TransferTime(request.link_bytes_per_second);
+}
+
 void slot_scheduler::ScheduleWakeUp(monotonic_time due) {
   if (!wake_at_ || due < *wake_at_)
     wake_at_ = due;
@@ -785,6 +839,8 @@
   }
   for (const auto& [work_class, estimate] : estimates_)
     sum.usual_work[work_class] = estimate.usual();
+  for (const auto& [work_class, estimate] : answer_sizes_)
+    sum.answer_bytes[work_class] = estimate.bytes();
   return sum;
 }
 
@@ -797,6 +853,11 @@
                          {"usable", endpoint.IsUsable()},
                          {"ejected", endpoint.IsEjected(now)}});
   }
+  nlohmann::json answers = nlohmann::json::object();
+  for (const auto& [work_class, estimate] : answer_sizes_) {
+    answers[work_class] = {{"bytes", estimate.bytes()},
+                           {"link_crowding", estimate.crowding()}};
+  }
   return {{"waiting", waiting_.size()},
           {"requests", requests_.size()},
           {"mean_holding_ms", ToMilliseconds(holding_time_.mean())},
@@ -804,10 +865,12 @@
           {"repeats_in_window", repeats_.repeats()},
           {"requests_in_window", repeats_.requests()},
           {"endpoints", endpoints},
+          {"answers", answers},
           {"counters",
            {{"requests", counters_.requests},
             {"grants", counters_.grants},
             {"hedges", counters_.hedges},
+            {"late_hedges", counters_.late_hedges},
             {"retries", counters_.retries},
             {"probes", counters_.probes},
             {"rejections", counters_.rejections}}}};
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -18,6 +18,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/random_source.h"
+#include "servers/scheduling/answer_size_estimate.h"
 #include "servers/scheduling/endpoint_slots.h"
 #include "servers/scheduling/slot_hooks.h"
 #include "servers/scheduling/slot_settings.h"
@@ -29,6 +30,8 @@
   std::uint64_t requests = 0;
   std::uint64_t grants = 0;
   std::uint64_t hedges = 0;
+  // Hedges that were due, but whose response could not arrive in time.
+  std::uint64_t late_hedges = 0;
   std::uint64_t retries = 0;
   std::uint64_t probes = 0;
   std::uint64_t rejections = 0;
@@ -54,12 +57,21 @@
              const std::string& endpoint_id,
              monotonic_time now);
 
-  // Reports the end of an attempt.
+  // Reports the end of an attempt. `transfer` is set for a complete response
+  // with a body.
   void Report(const request_key& key,
               std::uint64_t attempt,
               attempt_outcome outcome,
               const std::optional<endpoint_load>& load,
-              monotonic_time now);
+              monotonic_time now,
+              const std::optional<answer_transfer>& transfer = std::nullopt);
+
+  // Reports that the body of an attempt's response has been arriving since
+  // `started_at`.
+  void ReportTransferStart(const request_key& key,
+                           std::uint64_t attempt,
+                           monotonic_time started_at,
+                           monotonic_time now);
 
   // Removes a request and ends its running attempts as cancelled.
   void Cancel(const request_key& key, monotonic_time now);
@@ -98,7 +110,8 @@
     int attempts_in_flight = 0;
     double contention_factor = 1;
     time_span mean_holding_time{0};
-    std::map<std::string, time_span> usual_work;  // By work class.
+    std::map<std::string, time_span> usual_work;        // By work class.
+    std::map<std::string, std::uint64_t> answer_bytes;  // By work class.
   };
   summary Summarize(monotonic_time now) const;
 
@@ -196,6 +209,10 @@
   bool HasIdleCapacity(monotonic_time now) const;
   bool HasUsableEndpoint() const;
   time_span UsualWork(const slot_request& request) const;
+  // Expected time of the transfer of the response over the holder's link.
+  time_span TransferTime(const slot_request& request) const;
+  // Sets when a hedge of the request is due, counted from `now`.
+  void ScheduleHedge(request_record& record, monotonic_time now);
   void ScheduleWakeUp(monotonic_time due);
 
   slot_settings settings_;
@@ -208,7 +225,8 @@
   std::map<request_key, queue_key> queue_keys_;
   // Requests that may be hedged, by the due time of the hedge.
   std::set<std::pair<monotonic_time, request_key>> hedges_due_;
-  std::map<std::string, work_estimate> estimates_;  // By work class.
+  std::map<std::string, work_estimate> estimates_;            // By work class.
+  std::map<std::string, answer_size_estimate> answer_sizes_;  // By work class.
   work_estimate
       holding_time_;  // Time that attempts occupy a slot, all classes.
   // Elapsed time relative to the usual time of the work, without contention and
--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -10,6 +10,7 @@
 #include "drivers/event_loop.h"
 #include "platform/platform_contracts.h"
 #include "tests/modules/support/scripted_server.h"
+#include "tests/modules/support/throttled_link.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -295,4 +296,48 @@
   LONGS_EQUAL(0, server->requests());
 }
 
+// Guards against the time of the transfer that passes for work of the endpoint:
+// over 10 Mbit/s, 90 KB take 72 ms after the work has ended.
+TEST(endpoint_link, TellsTheTransferFromTheWork) {
+  constexpr std::size_t kLinkBytesPerSecond = 1'250'000;
+  constexpr std::size_t kBodyBytes = 90'000;
+  Serve([](std::size_t, std::size_t request, const std::string& header) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\n" + Names().request_id + ": " + IdOf(header) +
+        "\r\n" + Names().answer_proof + ": s\r\nContent-Length: ";
+    const std::size_t size = request == 0 ? kBodyBytes : 0;
+    return server_script{
+        head + std::to_string(size) + "\r\n\r\n" + std::string(size, 'b'),
+        "",
+        {}};
+  });
+  throttled_link slow(loop->context(), {"127.0.0.1", 0}, server->address(),
+                      kLinkBytesPerSecond);
+  std::vector<answer_transfer> notified;
+  const auto run = [&](const std::string& id) {
+    endpoint_exchange exchange = MakeExchange(id);
+    exchange.address = slow.address();
+    exchange.on_transfer = [&notified](const answer_transfer& so_far) {
+      notified.push_back(so_far);
+    };
+    std::optional<endpoint_result> result;
+    link->Begin(std::move(exchange), [&result](endpoint_result ended) {
+      result = std::move(ended);
+    });
+    while (!result)
+      loop->context().run_for(milliseconds(1));
+    CHECK(result->outcome == attempt_outcome::kAnswered);
+    return std::move(*result);
+  };
+  const endpoint_result large = run("r1");
+  LONGS_EQUAL(kBodyBytes, large.transfer->bytes);
+  CHECK(large.transfer->elapsed >= milliseconds(50));
+  LONGS_EQUAL(1, notified.size());
+  CHECK(notified[0].elapsed <= large.transfer->elapsed);
+  CHECK(notified[0].bytes < kBodyBytes);
+  // Responses without a body say nothing about the size of others.
+  CHECK_FALSE(run("r2").transfer.has_value());
+  LONGS_EQUAL(1, notified.size());
+}
+
 }  // namespace papayakeel
--- a/tests/modules/slot_link/slot_message_test.cc
+++ b/tests/modules/slot_link/slot_message_test.cc
@@ -3,11 +3,14 @@
 
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 namespace papayakeel {
 namespace {
 
+using nlohmann::json;
 using std::chrono::milliseconds;
 
 slot_message MakeMessage(slot_message_type type) {
@@ -27,6 +30,8 @@
   message.retry_after = milliseconds(250);
   message.outcome = attempt_outcome::kRejected;
   message.load = endpoint_load{1, 2, 3, 4.5};
+  message.transfer = answer_transfer{540'000, milliseconds(432)};
+  message.request.link_bytes_per_second = 1'250'000;
   return message;
 }
 
@@ -49,6 +54,7 @@
   CHECK(decoded.request.deadline == receiver + milliseconds(1500));
   CHECK(decoded.request.arrival == receiver - milliseconds(20));
   LONGS_EQUAL(1, decoded.request.earlier_attempts);
+  LONGS_EQUAL(1'250'000, decoded.request.link_bytes_per_second);
 
   const slot_message report = *DecodeSlotMessage(
       EncodeSlotMessage(MakeMessage(slot_message_type::kReport), sender),
@@ -56,14 +62,25 @@
   CHECK(report.outcome == attempt_outcome::kRejected);
   DOUBLES_EQUAL(4.5, report.load->slowdown, 0.001);
   CHECK_FALSE(report.leaving_endpoint.has_value());
+  LONGS_EQUAL(540'000, report.transfer->bytes);
+  CHECK(report.transfer->elapsed == milliseconds(432));
+  const slot_message start = *DecodeSlotMessage(
+      EncodeSlotMessage(MakeMessage(slot_message_type::kTransferStart), sender),
+      receiver);
+  CHECK(start.type == slot_message_type::kTransferStart);
+  LONGS_EQUAL(12, start.attempt);
+  CHECK(start.transfer->elapsed == milliseconds(432));
   slot_message leaving_report = MakeMessage(slot_message_type::kReport);
   leaving_report.leaving_endpoint = {"i-1", 1000};
   for (const bool has_load : {true, false}) {
-    if (!has_load)
+    if (!has_load) {
       leaving_report.load.reset();
+      leaving_report.transfer.reset();
+    }
     const slot_message leaving =
         *DecodeSlotMessage(EncodeSlotMessage(leaving_report, sender), receiver);
     CHECK(leaving.load.has_value() == has_load);
+    CHECK(leaving.transfer.has_value() == has_load);
     STRCMP_EQUAL("i-1", leaving.leaving_endpoint->id.c_str());
     LONGS_EQUAL(1000, leaving.leaving_endpoint->started_unix_ms);
   }
@@ -86,6 +103,39 @@
   }
 }
 
+// Guards against sizes, times and speeds of a foreign sender that overflow
+// sums, or that shift the start of a transfer into the future.
+TEST(slot_message, RejectsTransfersAndLinksOutOfRange) {
+  const monotonic_time now{};
+  const auto is_taken = [now](slot_message_type type, const json& path,
+                              const json& value) {
+    json fields = json::from_cbor(EncodeSlotMessage(MakeMessage(type), now));
+    fields.at(json::json_pointer(path.get<std::string>())) = value;
+    std::string bytes;
+    json::to_cbor(fields, bytes);
+    return DecodeSlotMessage(bytes, now).has_value();
+  };
+  const slot_message_type report = slot_message_type::kReport;
+  CHECK(is_taken(report, "/7/0", 7));
+  CHECK(is_taken(report, "/7", nullptr));
+  for (const char* const path : {"/7/0", "/7/1"}) {
+    for (const json& value :
+         {json(-1), json(1.5), json("7"), json(nullptr), json(~0ULL)}) {
+      CHECK_FALSE_TEXT(is_taken(report, path, value), value.dump().c_str());
+    }
+  }
+  CHECK_FALSE(is_taken(report, "/7", 5));
+  CHECK_FALSE(is_taken(report, "/7", json::array()));
+  for (const json& value : {json(-1), json(1.5), json("7"), json(~0ULL)}) {
+    CHECK_FALSE_TEXT(is_taken(slot_message_type::kSubmit, "/5/12", value),
+                     value.dump().c_str());
+  }
+  CHECK_FALSE(is_taken(slot_message_type::kTransferStart, "/6/1", -1));
+  CHECK_FALSE(is_taken(slot_message_type::kTransferStart, "/6", nullptr));
+  // The layout without transfers.
+  CHECK_FALSE(is_taken(report, "/0", 2));
+}
+
 // Guards against foreign and truncated datagrams that crash the process or are
 // accepted as messages.
 TEST(slot_message, RejectsForeignAndTruncatedDatagrams) {
--- a/tests/modules/support/throttled_link.cc
+++ b/tests/modules/support/throttled_link.cc
@@ -48,12 +48,12 @@
                                const network_address& listen,
                                network_address server,
                                std::size_t bytes_per_second)
-    : server_(std::move(server)),
-      bytes_per_second_(bytes_per_second),
-      acceptor_(context, ToEndpoint(listen)),
+    : bytes_per_second_(bytes_per_second),
       timer_(context),
       delivered_at_(event_loop::Now()) {
-  Accept();
+  listeners_.push_back(
+      {tcp::acceptor(context, ToEndpoint(listen)), std::move(server)});
+  Accept(listeners_.back());
   Deliver();
 }
 
@@ -62,29 +62,38 @@
     each->Close();
 }
 
-network_address throttled_link::address() const {
-  const tcp::endpoint local = acceptor_.local_endpoint();
+network_address throttled_link::AddServer(network_address server) {
+  tcp::endpoint local = listeners_.front().acceptor.local_endpoint();
+  local.port(0);
+  listeners_.push_back(
+      {tcp::acceptor(timer_.get_executor(), local), std::move(server)});
+  Accept(listeners_.back());
+  return AddressOf(listeners_.back());
+}
+
+network_address throttled_link::AddressOf(const listener& from) {
+  const tcp::endpoint local = from.acceptor.local_endpoint();
   return {local.address().to_string(), local.port()};
 }
 
-void throttled_link::Accept() {
-  acceptor_.async_accept(
-      [this](const boost::system::error_code& error, tcp::socket accepted) {
-        if (error)
-          return;
-        const std::shared_ptr<connection> forwarded =
-            std::make_shared<connection>(std::move(accepted));
-        connections_.push_back(forwarded);
-        forwarded->server.async_connect(
-            ToEndpoint(server_),
-            [this, forwarded](const boost::system::error_code& connect_error) {
-              if (connect_error)
-                return forwarded->Close();
-              Forward(forwarded);
-              ReadFromServer(forwarded);
-            });
-        Accept();
-      });
+void throttled_link::Accept(listener& at) {
+  at.acceptor.async_accept([this, &at](const boost::system::error_code& error,
+                                       tcp::socket accepted) {
+    if (error)
+      return;
+    const std::shared_ptr<connection> forwarded =
+        std::make_shared<connection>(std::move(accepted));
+    connections_.push_back(forwarded);
+    forwarded->server.async_connect(
+        ToEndpoint(at.server),
+        [this, forwarded](const boost::system::error_code& connect_error) {
+          if (connect_error)
+            return forwarded->Close();
+          Forward(forwarded);
+          ReadFromServer(forwarded);
+        });
+    Accept(at);
+  });
 }
 
 void throttled_link::Forward(const std::shared_ptr<connection>& forwarded) {
--- a/tests/modules/support/throttled_link.h
+++ b/tests/modules/support/throttled_link.h
@@ -4,6 +4,7 @@
 #define TESTS_MODULES_SUPPORT_THROTTLED_LINK_H_
 
 #include <cstddef>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,19 +28,26 @@
                  std::size_t bytes_per_second);
   ~throttled_link();
 
-  network_address address() const;
+  network_address address() const { return AddressOf(listeners_.front()); }
+  // Forwards to a further server over the same link. Returns the address of the
+  // link for it.
+  network_address AddServer(network_address server);
 
  private:
   struct connection;
+  struct listener {
+    boost::asio::ip::tcp::acceptor acceptor;
+    network_address server;
+  };
 
-  void Accept();
+  static network_address AddressOf(const listener& from);
+  void Accept(listener& at);
   void Forward(const std::shared_ptr<connection>& forwarded);
   void ReadFromServer(const std::shared_ptr<connection>& forwarded);
   void Deliver();
 
-  const network_address server_;
   const std::size_t bytes_per_second_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  std::list<listener> listeners_;
   boost::asio::steady_timer timer_;
   monotonic_time delivered_at_;
   std::vector<std::shared_ptr<connection>> connections_;
--- a/tests/servers/scheduling/slot_scheduler_test.cc
+++ b/tests/servers/scheduling/slot_scheduler_test.cc
@@ -17,6 +17,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::uint64_t kLink = 1'250'000;  // 10 Mbit/s.
+constexpr answer_transfer kAnswer{90'000, milliseconds(72)};
+
 class scheduler_harness {
  public:
   scheduler_harness()
@@ -78,6 +81,52 @@
     }
   }
 
+  // Runs requests whose responses have this transfer, over a link of 10 Mbit/s,
+  // until the averages follow them. Their work takes 100 ms.
+  void LearnDownloads(const answer_transfer& transfer) {
+    for (std::uint64_t number = 1'000; number < 1'100; ++number) {
+      slot_request request = MakeRequest(number, false);
+      request.link_bytes_per_second = kLink;
+      request.deadline = now + seconds(12);
+      scheduler_.Submit(request, now);
+      const std::size_t before = grants.size();
+      while (grants.empty() || !(grants.back().request == request.key))
+        RunFor(milliseconds(1));
+      CHECK(grants.size() >= before);
+      const slot_grant grant = grants.back();
+      RunFor(milliseconds(100) + transfer.elapsed);
+      scheduler_.Report(grant.request, grant.attempt,
+                        attempt_outcome::kAnswered, endpoint_load{0, 0, 2, 1},
+                        now, transfer);
+    }
+  }
+
+  // Returns the time from the grant of a request to its hedge; 0 if there is
+  // none. The transfer of the first attempt starts after `transfer_start`,
+  // unless that is 0.
+  time_span HedgeDelayOf(std::uint64_t number,
+                         std::uint64_t link,
+                         time_span transfer_start = time_span(0)) {
+    grants.clear();
+    slot_request request = MakeRequest(number, true);
+    request.link_bytes_per_second = link;
+    scheduler_.Submit(request, now);
+    while (grants.empty())
+      RunFor(milliseconds(1));
+    const monotonic_time granted_at = now;
+    const slot_grant first = grants.front();
+    time_span delay{0};
+    while (now < request.deadline && delay == time_span(0)) {
+      RunFor(milliseconds(1));
+      if (transfer_start > time_span(0) && now - granted_at == transfer_start)
+        scheduler_.ReportTransferStart(first.request, first.attempt, now, now);
+      if (grants.size() > 1)
+        delay = now - granted_at;
+    }
+    scheduler_.Cancel(request.key, now);
+    return delay;
+  }
+
   slot_scheduler& scheduler() { return scheduler_; }
 
   std::vector<slot_grant> grants;
@@ -147,6 +196,89 @@
   CHECK(run.grants.size() - first.size() <= 0.2 * requests + 5);
 }
 
+// Guards against a download that is given up after its transfer broke off, and
+// against retries of downloads beyond the budget.
+TEST(slot_scheduler, BrokenDownloadsAreRetriedWithinTheBudget) {
+  scheduler_harness run;
+  run.SetEndpoints(40);
+  for (std::uint64_t number = 1; number <= 20; ++number) {
+    slot_request request = run.MakeRequest(number, true);
+    request.link_bytes_per_second = kLink;
+    run.scheduler().Submit(request, run.now);
+  }
+  run.RunFor(milliseconds(150));
+  const std::vector<slot_grant> first = run.grants;
+  LONGS_EQUAL(20, first.size());
+  for (const slot_grant& grant : first) {
+    run.scheduler().ReportTransferStart(grant.request, grant.attempt, run.now,
+                                        run.now);
+    run.scheduler().Report(grant.request, grant.attempt,
+                           attempt_outcome::kBroken, std::nullopt, run.now);
+  }
+  run.RunFor(milliseconds(500));
+  CHECK(run.scheduler().counters().retries > 0);
+  CHECK(run.scheduler().counters().retries <= 9);
+  LONGS_EQUAL(20 - run.scheduler().counters().retries, run.rejections.size());
+}
+
+// Guards against a hedge that is due before the response can have arrived, and
+// against one that is sent while a transfer is under way.
+TEST(slot_scheduler, HedgePaysForTheTransferOfItsResponse) {
+  scheduler_harness run;
+  run.SetEndpoints(10);
+  run.LearnDownloads(kAnswer);
+  const time_span with_link = run.HedgeDelayOf(100, kLink);
+  const time_span without_link = run.HedgeDelayOf(101, 0);
+  CHECK(without_link > milliseconds(150));
+  CHECK(with_link - without_link >= milliseconds(60));
+  CHECK(with_link - without_link <= milliseconds(90));
+  // A response that has begun to arrive delays its hedge again.
+  const time_span started = run.HedgeDelayOf(102, kLink, milliseconds(200));
+  CHECK(started >= milliseconds(200) + with_link - milliseconds(5));
+}
+
+// Guards against hedges on a link that can't take the response again in time.
+TEST(slot_scheduler, NoHedgeOnAFullLink) {
+  scheduler_harness run;
+  run.SetEndpoints(10);
+  // 540 KB take 432 ms; crowded to a quarter of the link, 1.7 s.
+  run.LearnDownloads({540'000, milliseconds(1728)});
+  CHECK(run.HedgeDelayOf(100, kLink) == time_span(0));
+  CHECK(run.HedgeDelayOf(101, 100 * kLink) > time_span(0));
+}
+
+// Guards against transfers over a slow link that mark their endpoints as slow
+// or pass for work.
+TEST(slot_scheduler, TransfersAreNoWorkOfTheEndpoint) {
+  scheduler_harness run;
+  run.SetEndpoints(10);
+  run.LearnDownloads({540'000, milliseconds(1000)});
+  const slot_scheduler::summary sum = run.scheduler().Summarize(run.now);
+  const double usual_ms = ToMilliseconds(sum.usual_work.at("booking"));
+  CHECK_TEXT(usual_ms < 160, std::to_string(usual_ms).c_str());
+  LONGS_EQUAL(0, sum.slow_endpoints);
+  // The slots were in use during the transfers.
+  CHECK(sum.mean_holding_time > milliseconds(500));
+}
+
+// Guards against a running transfer that marks its endpoint as slow: it would
+// get no further requests until the transfer ends.
+TEST(slot_scheduler, RunningTransferLeavesTheOtherSlotUsable) {
+  scheduler_harness run;
+  run.SetEndpoints(1);
+  run.LearnDownloads(kAnswer);
+  run.grants.clear();
+  slot_request request = run.MakeRequest(100, false);
+  request.deadline = run.now + seconds(12);
+  run.scheduler().Submit(request, run.now);
+  run.RunFor(milliseconds(100));
+  LONGS_EQUAL(1, run.grants.size());
+  run.scheduler().ReportTransferStart(run.grants[0].request,
+                                      run.grants[0].attempt, run.now, run.now);
+  run.RunFor(seconds(3));
+  LONGS_EQUAL(0, run.scheduler().Summarize(run.now).slow_endpoints);
+}
+
 // Guards against more attempts than the route allows.
 TEST(slot_scheduler, RespectsMaxAttempts) {
   scheduler_harness run;
