--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -156,10 +156,13 @@
 }
 
 void platform_stand_in::PutState(int version,
-                                 const std::vector<std::string>& lookups) {
+                                 const std::vector<std::string>& lookups,
+                                 const std::vector<std::string>& downloads) {
   json policy = json::array({MakeRoute("book", "/book/", "non_idempotent")});
   for (const std::string& prefix : lookups)
     policy.push_back(MakeRoute(prefix, prefix, "idempotent"));
+  for (const std::string& prefix : downloads)
+    policy.push_back(MakeRoute(prefix, prefix, "download"));
   const json state = {
       {"version", version},
       {"limits",
@@ -199,6 +202,11 @@
   Run([&] { endpoints_.at(endpoint)->answer_bytes = bytes; });
 }
 
+void platform_stand_in::SetDownloadSize(std::size_t endpoint,
+                                        std::size_t bytes) {
+  Run([&] { endpoints_.at(endpoint)->download_bytes = bytes; });
+}
+
 void platform_stand_in::Register(std::size_t endpoint, bool is_leaving) {
   stand_in_endpoint& known = *endpoints_.at(endpoint);
   known.is_leaving = is_leaving;
@@ -239,8 +247,11 @@
   http_response response = MakeAnswer(
       http::status::ok, std::string(request.method_string()) + " " +
                             std::string(ToStringView(request.target())) + "\n");
-  if (response.body().size() < endpoint.answer_bytes) {
-    response.body().resize(endpoint.answer_bytes, 'b');
+  const bool is_download = request.target().starts_with("/file/");
+  const std::size_t bytes =
+      is_download ? endpoint.download_bytes : endpoint.answer_bytes;
+  if (response.body().size() < bytes) {
+    response.body().resize(bytes, 'b');
     response.prepare_payload();
   }
   response.set("Papayakeel-Server-Load", "0,0,2,100");
@@ -345,8 +356,10 @@
            << "\nseeds=" << host_prefix_ << "1:" << kControlPort << ","
            << host_prefix_ << "2:" << kControlPort
            << "\nlimits.cpu_share=0.2\nlimits.memory_mb=" << memory_megabytes_
-           << "\n"
-           << "bounds=grace=6s,retry_ratio=0.2,retry_window=10s,"
+           << "\n";
+  if (link_megabits_ > 0)
+    settings << "limits.link_mbps=" << link_megabits_ << "\n";
+  settings << "bounds=grace=6s,retry_ratio=0.2,retry_window=10s,"
            << "retry_slack=58,probes_per_s=60\nplatform.address="
            << published_store_address_.ToString() << "\n";
   settings.close();
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -50,9 +50,11 @@
       const std::optional<store_copy>& copy);
 
   // Puts a desired state in force whose routes each send a prefix of the host
-  // "a.example" to the service "booking": the once-only prefix "/book/" and
-  // the idempotent prefixes `lookups`.
-  void PutState(int version, const std::vector<std::string>& lookups);
+  // "a.example" to the service "booking": the once-only prefix "/book/", the
+  // idempotent prefixes `lookups` and the download prefixes `downloads`.
+  void PutState(int version,
+                const std::vector<std::string>& lookups,
+                const std::vector<std::string>& downloads = {});
 
   // Starts an endpoint that takes `work` for each request and registers it.
   std::size_t AddEndpoint(time_span work);
@@ -60,6 +62,8 @@
   void SetWork(std::size_t endpoint, time_span work);
   // From now on its answers have at least this many bytes.
   void SetAnswerSize(std::size_t endpoint, std::size_t bytes);
+  // From now on its answers below "/file/" have this many bytes.
+  void SetDownloadSize(std::size_t endpoint, std::size_t bytes);
   // Registers it anew, as leaving or not.
   void Register(std::size_t endpoint, bool is_leaving);
   // Where the endpoint listens, and where entry VMs are told to find it when
@@ -90,6 +94,8 @@
   void RestartEntryVm(std::size_t index);
   // The memory limit of VMs that are added later, in MB.
   void SetMemoryLimit(int megabytes) { memory_megabytes_ = megabytes; }
+  // The link speed that VMs that are added later are told, in Mbit/s.
+  void SetLinkSpeed(int megabits) { link_megabits_ = megabits; }
   // Where the store listens, and where VMs that are added later are told to
   // find it when that is a relay.
   network_address StoreAddress() const;
@@ -110,6 +116,7 @@
     std::string id;
     time_span work{0};
     std::size_t answer_bytes = 0;
+    std::size_t download_bytes = 0;
     bool is_rejecting = false;
     bool announces_leaving = false;
     int registrations = 0;
@@ -144,6 +151,7 @@
   std::string newest_state_;  // As the operator wrote it.
   network_address published_store_address_;
   int memory_megabytes_ = 260;
+  int link_megabits_ = 0;  // 0: not stated.
   std::vector<std::unique_ptr<stand_in_endpoint>> endpoints_;
   std::map<std::string, int> arrivals_;  // By request id.
   std::map<std::string, int> runs_;
