Use the announced size of a response for the first hedges

Before the first response of a class was complete, hedges knew no size: on a full link (trial: 70 readers of 330 KB at 10 Mbit/s) 30 hedges of 300 KB were sent although no download ended in time. The holder now sends the announced size with kTransferStart; the hedge of that request waits for it, and it stands for the mean until a response is complete.

--- a/modules/endpoint_link/endpoint_connection.cc
+++ b/modules/endpoint_link/endpoint_connection.cc
@@ -222,14 +222,14 @@
   const monotonic_time now = event_loop::Now();
   if (!transfer_started_at_)
     transfer_started_at_ = now;
-  const answer_transfer so_far{reader_.body_bytes(),
-                               now - *transfer_started_at_};
+  const answer_transfer transfer{reader_.expected_body_bytes(),
+                                 now - *transfer_started_at_};
   const bool is_due = !is_complete && !has_notified_transfer_ &&
-                      so_far.elapsed >= kMinNotifiedTransfer;
+                      transfer.elapsed >= kMinNotifiedTransfer;
   if (!is_due || IsForOtherExchange())
     return;
   has_notified_transfer_ = true;
-  exchange_.on_transfer(so_far);
+  exchange_.on_transfer(transfer);
 }
 
 void endpoint_connection::EndLaterForMemory() {
--- a/modules/endpoint_link/endpoint_exchange.h
+++ b/modules/endpoint_link/endpoint_exchange.h
@@ -32,9 +32,10 @@
   // Whether the endpoint may still get the request. Asked once a new connection
   // is open, which may take long.
   std::function<bool()> may_send = [] { return true; };
-  // Called at most once, while the answer's body arrives, if that takes long.
+  // Called at most once, while the answer's body arrives, if that takes long,
+  // with the size of the whole body as far as it is known and the time so far.
   // It must not end the exchange before it returns.
-  std::function<void(const answer_transfer& so_far)> on_transfer =
+  std::function<void(const answer_transfer& transfer)> on_transfer =
       [](const answer_transfer&) {};
   // The exchange fails when it has no answer by this time.
   monotonic_time deadline;
--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -139,8 +139,8 @@
   exchange.request_id = plan_.caller_id;
   exchange.on_transfer = [slots = services_.slots, number = number_,
                           attempt =
-                              grant.attempt](const answer_transfer& so_far) {
-    slots->ReportTransferStart(number, attempt, so_far);
+                              grant.attempt](const answer_transfer& transfer) {
+    slots->ReportTransferStart(number, attempt, transfer);
   };
   exchange.is_head = request_.message.method() == http::verb::head;
   exchange.deadline = plan_.deadline + kTimeoutResponseAllowance;
--- a/modules/http/answer_reader.h
+++ b/modules/http/answer_reader.h
@@ -65,6 +65,12 @@
   std::size_t body_bytes() const {
     return parser_ ? parser_->get().body().size() : 0;
   }
+  // Size of the whole body as announced, or what has arrived of a body without
+  // a length.
+  std::uint64_t expected_body_bytes() const {
+    const auto announced = parser_ ? parser_->content_length() : boost::none;
+    return announced ? *announced : body_bytes();
+  }
   // The cause of kBroken.
   const std::string& error() const { return error_; }
 
--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -353,7 +353,7 @@
 
 void slot_link::ReportTransferStart(std::uint64_t number,
                                     std::uint64_t attempt,
-                                    const answer_transfer& so_far) {
+                                    const answer_transfer& transfer) {
   const auto found = held_.find(number);
   if (found == held_.end())
     return;
@@ -361,7 +361,7 @@
   slot_message message = MakeMessage(slot_message_type::kTransferStart,
                                      held.shard, held.request.key);
   message.attempt = attempt;
-  message.transfer = so_far;
+  message.transfer = transfer;
   SendToOwner(held.owner, message);
 }
 
@@ -632,9 +632,9 @@
     scheduler.Report(key, message.attempt, message.outcome, message.load, now,
                      message.transfer);
   } else if (message.type == slot_message_type::kTransferStart) {
-    scheduler.ReportTransferStart(
-        key, message.attempt,
-        now - message.transfer.value_or(answer_transfer()).elapsed, now);
+    scheduler.ReportTransferStart(key, message.attempt,
+                                  message.transfer.value_or(answer_transfer()),
+                                  now);
   } else if (message.type == slot_message_type::kCancel) {
     scheduler.Cancel(key, now);
   } else if (scheduler.IsKnown(key)) {
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -66,10 +66,11 @@
               attempt_outcome outcome,
               const std::optional<endpoint_load>& load,
               const std::optional<answer_transfer>& transfer = std::nullopt);
-  // Reports to the owner that the body of an attempt's response is arriving.
+  // Reports to the owner that the body of an attempt's response is arriving:
+  // its expected size and the time so far.
   void ReportTransferStart(std::uint64_t number,
                            std::uint64_t attempt,
-                           const answer_transfer& so_far);
+                           const answer_transfer& transfer);
   // Releases the request. The caller has already cancelled its running
   // attempts.
   void End(std::uint64_t number);
--- a/modules/slot_link/slot_message.h
+++ b/modules/slot_link/slot_message.h
@@ -45,7 +45,7 @@
   time_span retry_after{0};                            // Reject.
   attempt_outcome outcome = attempt_outcome::kBroken;  // Report.
   std::optional<endpoint_load> load;                   // Report.
-  // Report; transfer start: what has arrived so far.
+  // Report; transfer start: the expected size and the time so far.
   std::optional<answer_transfer> transfer;
   // Report: the attempt's endpoint, if it has announced that it leaves.
   std::optional<endpoint_start> leaving_endpoint;
--- a/servers/scheduling/answer_size_estimate.cc
+++ b/servers/scheduling/answer_size_estimate.cc
@@ -44,11 +44,12 @@
   crowding_ += kWeight * (std::clamp(ratio, 1.0, kMaxCrowding) - crowding_);
 }
 
-time_span answer_size_estimate::TransferTime(
+time_span answer_size_estimate::TransferTimeOf(
+    std::uint64_t bytes,
     std::uint64_t link_bytes_per_second) const {
-  return FromMilliseconds(
-      std::min(TimeOnIdleLinkMs(bytes_, link_bytes_per_second) * crowding_,
-               kMaxTransferMs));
+  const double idle_ms =
+      TimeOnIdleLinkMs(static_cast<double>(bytes), link_bytes_per_second);
+  return FromMilliseconds(std::min(idle_ms * crowding_, kMaxTransferMs));
 }
 
 }  // namespace papayakeel
--- a/servers/scheduling/answer_size_estimate.h
+++ b/servers/scheduling/answer_size_estimate.h
@@ -25,7 +25,12 @@
 
   // Expected time of the transfer of one response over a link of this speed; 0
   // when the speed is unknown.
-  time_span TransferTime(std::uint64_t link_bytes_per_second) const;
+  time_span TransferTime(std::uint64_t link_bytes_per_second) const {
+    return TransferTimeOf(bytes(), link_bytes_per_second);
+  }
+  // The same for a response whose size is known.
+  time_span TransferTimeOf(std::uint64_t bytes,
+                           std::uint64_t link_bytes_per_second) const;
 
  private:
   int samples_ = 0;  // Up to the number that the newest weight stands for.
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -280,7 +280,7 @@
 
 void slot_scheduler::ReportTransferStart(const request_key& key,
                                          std::uint64_t attempt,
-                                         monotonic_time started_at,
+                                         const answer_transfer& transfer,
                                          monotonic_time now) {
   const auto found = requests_.find(key);
   if (found == requests_.end())
@@ -291,7 +291,15 @@
     return;
   const auto endpoint = endpoints_.find(running->second.endpoint_id);
   if (endpoint != endpoints_.end())
-    endpoint->second.BeginTransfer(attempt, started_at);
+    endpoint->second.BeginTransfer(attempt, now - transfer.elapsed);
+  record.answer_bytes = transfer.bytes;
+  // Before the first response of a class has arrived, hedges of all requests
+  // would fill a slow link with second copies.
+  answer_size_estimate& sizes = answer_sizes_[record.request.work_class];
+  if (sizes.bytes() == 0) {
+    sizes.Add({transfer.bytes, time_span(0)},
+              record.request.link_bytes_per_second);
+  }
   // A hedge would now only help if the endpoint stops in the transfer.
   const bool has_hedge_due = hedges_due_.count({record.hedge_at, key}) > 0;
   if (has_hedge_due || (record.is_waiting && record.wants_hedge)) {
@@ -414,7 +422,7 @@
     return false;
   // Without a running attempt, the queued hedge serves as the retry.
   if (record.wants_hedge && !record.running.empty() &&
-      !CanHedgeInTime(UsualWork(record.request), TransferTime(record.request),
+      !CanHedgeInTime(UsualWork(record.request), HedgeTransferTime(record),
                       record.request.deadline - now)) {
     ++counters_.late_hedges;
     Dequeue(record);
@@ -613,7 +621,7 @@
 void slot_scheduler::ScheduleHedge(request_record& record, monotonic_time now) {
   hedges_due_.erase({record.hedge_at, record.request.key});
   record.hedge_at =
-      now + HedgeDelay(UsualWork(record.request), TransferTime(record.request));
+      now + HedgeDelay(UsualWork(record.request), HedgeTransferTime(record));
   hedges_due_.insert({record.hedge_at, record.request.key});
 }
 
@@ -625,7 +633,7 @@
     if (record.is_waiting || record.running.size() != 1)
       continue;
     // The time left only shrinks.
-    if (!CanHedgeInTime(UsualWork(record.request), TransferTime(record.request),
+    if (!CanHedgeInTime(UsualWork(record.request), HedgeTransferTime(record),
                         record.request.deadline - now)) {
       ++counters_.late_hedges;
       continue;
@@ -808,6 +816,17 @@
              : found->second.TransferTime(request.link_bytes_per_second);
 }
 
+time_span slot_scheduler::HedgeTransferTime(
+    const request_record& record) const {
+  const slot_request& request = record.request;
+  const auto found = answer_sizes_.find(request.work_class);
+  if (found == answer_sizes_.end())
+    return time_span(0);
+  return std::max(TransferTime(request),
+                  found->second.TransferTimeOf(record.answer_bytes,
+                                               request.link_bytes_per_second));
+}
+
 void slot_scheduler::ScheduleWakeUp(monotonic_time due) {
   if (!wake_at_ || due < *wake_at_)
     wake_at_ = due;
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -66,11 +66,11 @@
               monotonic_time now,
               const std::optional<answer_transfer>& transfer = std::nullopt);
 
-  // Reports that the body of an attempt's response has been arriving since
-  // `started_at`.
+  // Reports that the body of an attempt's response is arriving: its expected
+  // size and the time so far.
   void ReportTransferStart(const request_key& key,
                            std::uint64_t attempt,
-                           monotonic_time started_at,
+                           const answer_transfer& transfer,
                            monotonic_time now);
 
   // Removes a request and ends its running attempts as cancelled.
@@ -130,6 +130,7 @@
     std::map<std::uint64_t, running_attempt> running;
     std::optional<monotonic_time> held_since;
     monotonic_time hedge_at;           // When a hedge is due.
+    std::uint64_t answer_bytes = 0;    // Of a response that is arriving.
     bool has_reserved_repeat = false;  // The next repeat is already counted.
     bool may_have_run = false;
   };
@@ -211,6 +212,8 @@
   time_span UsualWork(const slot_request& request) const;
   // Expected time of the transfer of the response over the holder's link.
   time_span TransferTime(const slot_request& request) const;
+  // The same for a hedge of the request, whose first response may be arriving.
+  time_span HedgeTransferTime(const request_record& record) const;
   // Sets when a hedge of the request is due, counted from `now`.
   void ScheduleHedge(request_record& record, monotonic_time now);
   void ScheduleWakeUp(monotonic_time due);
--- a/tests/platform/process/download_path_test.cc
+++ b/tests/platform/process/download_path_test.cc
@@ -46,6 +46,8 @@
 constexpr int kSlowReaders = 24;
 constexpr std::size_t kReadBytes = 4096;
 constexpr milliseconds kReadPause{100};
+// Callers wait before they ask again.
+constexpr milliseconds kAfterRefusal{300};
 // Callers that stop reading, with several downloads each.
 constexpr int kStalledCallers = 4;
 constexpr int kPipelinedDownloads = 4;
@@ -224,8 +226,11 @@
             boost::asio::buffer(Download("slow-" + std::to_string(reader) +
                                          "-" + std::to_string(number))),
             error);
+        const int refused_before = slow.refused;
         if (!ReadSlowly(caller, slow))
           caller = Connect(own_context, vm);
+        if (slow.refused > refused_before)
+          std::this_thread::sleep_for(kAfterRefusal);
       }
     });
   }
