--- a/tests/modules/endpoint_link/endpoint_link_test.cc
+++ b/tests/modules/endpoint_link/endpoint_link_test.cc
@@ -21,6 +21,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::size_t kLinkBytesPerSecond = 1'250'000;  // 10 Mbit/s.
+constexpr std::size_t kBodyBytes = 90'000;
+
 const header_names& Names() {
   static const caller_contract kContract = platform::MakeCallerContract();
   return kContract.headers;
@@ -299,12 +302,10 @@
 // Guards against the time of the transfer that passes for work of the endpoint:
 // over 10 Mbit/s, 90 KB take 72 ms after the work has ended.
 TEST(endpoint_link, TellsTheTransferFromTheWork) {
-  constexpr std::size_t kLinkBytesPerSecond = 1'250'000;
-  constexpr std::size_t kBodyBytes = 90'000;
   Serve([](std::size_t, std::size_t request, const std::string& header) {
-    const std::string head =
-        "HTTP/1.1 200 OK\r\n" + Names().request_id + ": " + IdOf(header) +
-        "\r\n" + Names().answer_proof + ": s\r\nContent-Length: ";
+    const std::string head = "HTTP/1.1 200 OK\r\n" + Names().request_id + ": " +
+                             IdOf(header) + "\r\n" + Names().answer_proof +
+                             ": s\r\nContent-Length: ";
     const std::size_t size = request == 0 ? kBodyBytes : 0;
     return server_script{
         head + std::to_string(size) + "\r\n\r\n" + std::string(size, 'b'),
