--- a/modules/entry_gateway/request_run.cc
+++ b/modules/entry_gateway/request_run.cc
@@ -138,6 +138,11 @@
   exchange.header = MakeHeader(grant);
   exchange.body = body_;
   exchange.request_id = plan_.caller_id;
+  exchange.on_transfer = [slots = services_.slots, number = number_,
+                          attempt =
+                              grant.attempt](const answer_transfer& transfer) {
+    slots->ReportTransferStart(number, attempt, transfer);
+  };
   exchange.is_head = request_.message.method() == http::verb::head;
   exchange.deadline = plan_.deadline + kTimeoutResponseAllowance;
   attempts_[grant.attempt] = services_.endpoints->Begin(
@@ -160,7 +165,8 @@
   }
   may_have_run_ |= !IsCertainlyNotRun(result.outcome);
   sent_ -= result.outcome == attempt_outcome::kNotSent ? 1 : 0;
-  services_.slots->Report(number_, attempt, result.outcome, result.load);
+  services_.slots->Report(number_, attempt, result.outcome, result.load,
+                          result.transfer);
   // No retry for a disconnected caller.
   if (is_caller_disconnected_ && result.outcome != attempt_outcome::kAnswered)
     return Stop(request_outcome::kCallerDisconnected, "caller_gone");
--- a/servers/scheduling/attempt_outcome.h
+++ b/servers/scheduling/attempt_outcome.h
@@ -1,7 +1,9 @@
-// Outcome of an attempt at an endpoint and the load that the endpoint reported.
+// Outcome of an attempt at an endpoint, the load that the endpoint reported and
+// the transfer of its response.
 #ifndef SERVERS_SCHEDULING_ATTEMPT_OUTCOME_H_
 #define SERVERS_SCHEDULING_ATTEMPT_OUTCOME_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "core/monotonic_time.h"
@@ -37,6 +39,15 @@
   std::optional<time_span> warm_up_left = std::nullopt;
 };
 
+// Transfer of a complete response to the entry VM that holds the request.
+struct answer_transfer {
+  std::uint64_t bytes = 0;  // Size of the response body.
+  // Time from the first byte of the body to the end of the response. The
+  // endpoint's work has ended when the body begins; its slot is in use until
+  // the response is written.
+  time_span elapsed{0};
+};
+
 }  // namespace papayakeel
 
 #endif  // SERVERS_SCHEDULING_ATTEMPT_OUTCOME_H_
--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -176,6 +176,12 @@
   running_[attempt] = started;
 }
 
+void endpoint_slots::BeginTransfer(std::uint64_t attempt, monotonic_time at) {
+  const auto found = running_.find(attempt);
+  if (found != running_.end())
+    found->second.work_ended_at = std::max(at, found->second.started);
+}
+
 std::optional<endpoint_slots::ended_attempt> endpoint_slots::End(
     std::uint64_t attempt,
     attempt_outcome outcome,
@@ -187,6 +193,7 @@
   const running_attempt run = found->second;
   ended_attempt ended = run.start;
   ended.elapsed = now - run.started;
+  ended.work = run.WorkedFor(now);
   if (run.started < load_requested_at_)
     ++ended_since_load_;
   running_.erase(found);
@@ -318,7 +325,7 @@
 
 double endpoint_slots::Ratio(const running_attempt& attempt,
                              monotonic_time now) {
-  return ToMilliseconds(now - attempt.started) /
+  return ToMilliseconds(attempt.WorkedFor(now)) /
          ToMilliseconds(attempt.expected);
 }
 
@@ -326,7 +333,7 @@
   int overdue = 0;
   double largest = 1;
   for (const auto& [id, attempt] : running_) {
-    if (now <= attempt.slow_at)
+    if (!attempt.IsSlow(now))
       continue;
     overdue += attempt.is_counted ? 0 : 1;
     largest = std::max(largest, Ratio(attempt, now));
@@ -336,7 +343,7 @@
 
 void endpoint_slots::CountSlowAttempts(monotonic_time now) {
   for (auto& [id, attempt] : running_) {
-    if (attempt.is_counted || now <= attempt.slow_at)
+    if (attempt.is_counted || !attempt.IsSlow(now))
       continue;
     attempt.is_counted = true;
     stragglers_.Count(Ratio(attempt, now), now);
--- a/servers/scheduling/endpoint_slots.h
+++ b/servers/scheduling/endpoint_slots.h
@@ -71,9 +71,14 @@
   // Adds an attempt. `work` is its time on an endpoint at the usual speed with
   // free slots.
   void Start(std::uint64_t attempt, time_span work, monotonic_time now);
+  // The endpoint's work on the attempt ended at `at`, when the body of its
+  // response began to arrive. The attempt holds its slot until it ends, but the
+  // transfer does not count towards the speed of the endpoint.
+  void BeginTransfer(std::uint64_t attempt, monotonic_time at);
   struct ended_attempt {
-    time_span elapsed{0};
-    int used_slots = 1;  // Slots in use after the start, of `slots`.
+    time_span elapsed{0};  // Time in the slot, with the transfer.
+    time_span work{0};     // Time until the transfer began.
+    int used_slots = 1;    // Slots in use after the start, of `slots`.
     int slots = 1;
     bool was_contended = false;  // At its start, as far as was known then.
     // Slowdown that the endpoint had recently reported when the attempt
@@ -121,10 +126,18 @@
  private:
   int SlotsLeft(monotonic_time now) const;
   struct running_attempt {
+    time_span WorkedFor(monotonic_time now) const {
+      return work_ended_at.value_or(now) - started;
+    }
+    bool IsSlow(monotonic_time now) const {
+      return work_ended_at.value_or(now) > slow_at;
+    }
+
     monotonic_time started;
-    time_span expected{1};    // By reports and contention.
-    monotonic_time slow_at;   // When the attempt counts as slow.
-    ended_attempt start;      // `elapsed` is 0.
+    std::optional<monotonic_time> work_ended_at;  // The transfer has begun.
+    time_span expected{1};                        // By reports and contention.
+    monotonic_time slow_at;   // When the work counts as slow.
+    ended_attempt start;      // Its times are 0.
     bool is_counted = false;  // By the straggler detector.
   };
 
--- a/servers/scheduling/slot_scheduler.cc
+++ b/servers/scheduling/slot_scheduler.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "servers/scheduling/hedge_rule.h"
+
 namespace papayakeel {
 
 namespace {
@@ -33,8 +35,6 @@
 constexpr int kProbesPerRequest = 3;
 constexpr std::size_t kMaxConcurrentProbes = 32;
 
-// A hedge is due after this multiple of the usual time of the request.
-constexpr double kHedgeDelayFactor = 1.5;
 // Retry interval of a hedge that could not be queued when it was due.
 constexpr time_span kHedgeRetryInterval = std::chrono::milliseconds(30);
 
@@ -229,7 +229,8 @@
                             std::uint64_t attempt,
                             attempt_outcome outcome,
                             const std::optional<endpoint_load>& load,
-                            monotonic_time now) {
+                            monotonic_time now,
+                            const std::optional<answer_transfer>& transfer) {
   const auto found = requests_.find(key);
   if (found == requests_.end())
     return;
@@ -247,7 +248,13 @@
                                      ? load
                                      : endpoint->second.RecentLoad(now));
   refusals_.AddAttempt(outcome, is_unrelated_to_load, now);
+  if (transfer && outcome == attempt_outcome::kAnswered) {
+    answer_sizes_[record.request.work_class].Add(
+        *transfer, record.request.link_bytes_per_second);
+  }
   if (endpoint != endpoints_.end()) {
+    if (transfer)
+      endpoint->second.BeginTransfer(attempt, now - transfer->elapsed);
     const std::optional<endpoint_slots::ended_attempt> ended =
         endpoint->second.End(
             attempt,
@@ -296,12 +303,42 @@
   PlaceWaitingRequests(now);
 }
 
+void slot_scheduler::ReportTransferStart(const request_key& key,
+                                         std::uint64_t attempt,
+                                         const answer_transfer& transfer,
+                                         monotonic_time now) {
+  const auto found = requests_.find(key);
+  if (found == requests_.end())
+    return;
+  request_record& record = found->second;
+  const auto running = record.running.find(attempt);
+  if (running == record.running.end())
+    return;
+  const auto endpoint = endpoints_.find(running->second.endpoint_id);
+  if (endpoint != endpoints_.end())
+    endpoint->second.BeginTransfer(attempt, now - transfer.elapsed);
+  record.answer_bytes = transfer.bytes;
+  // Before the first response of a class has arrived, hedges of all requests
+  // would fill a slow link with second copies.
+  answer_size_estimate& sizes = answer_sizes_[record.request.work_class];
+  if (sizes.bytes() == 0) {
+    sizes.Add({transfer.bytes, time_span(0)},
+              record.request.link_bytes_per_second);
+  }
+  // A hedge would now only help if the endpoint stops in the transfer.
+  const bool has_hedge_due = hedges_due_.count({record.hedge_at, key}) > 0;
+  if (has_hedge_due || (record.is_waiting && record.wants_hedge)) {
+    Dequeue(record);
+    ScheduleHedge(record, now);
+  }
+}
+
 void slot_scheduler::UpdateWorkEstimate(
     const std::string& work_class,
     time_span work,
     const endpoint_slots::ended_attempt& ended) {
   const double slowdown = *ended.reported_slowdown;
-  const time_span elapsed = Scale(ended.elapsed, 1 / slowdown);
+  const time_span elapsed = Scale(ended.work, 1 / slowdown);
   if (slowdown <= kFastEndpointFactor) {
     performance_.contention.Add(
         ended.used_slots, ended.slots,
@@ -544,7 +581,7 @@
       });
   prospect.goal_left = request.arrival + request.goal - now;
   prospect.slack = LatestStart(request) - now;
-  prospect.path = zone_overflow::PathCost(request.bytes, 0, 0);
+  prospect.path = PathCost(request);
   const time_span work = UsualWork(request);
   prospect.home_work = work;
   if (choices.empty()) {
@@ -570,6 +607,14 @@
                                   monotonic_time now) {
   if (record.wants_hedge && !repeats_.CanRepeat(now))
     return false;
+  // Without a running attempt, the queued hedge serves as the retry.
+  if (record.wants_hedge && !record.running.empty() &&
+      !CanHedgeInTime(UsualWork(record.request), HedgeTransferTime(record),
+                      record.request.deadline - now)) {
+    ++counters_.late_hedges;
+    Dequeue(record);
+    return false;
+  }
   const placement allowed = ChooseZones(record, free, ahead, now);
   const std::vector<choice>& choices = allowed.choices;
   if (choices.empty())
@@ -632,7 +677,7 @@
   time_span cost = option.forecast.ExpectedTime(UsualWork(record.request));
   if (option.endpoint->entry().availability_zone !=
       record.request.availability_zone) {
-    cost += zone_overflow::PathCost(record.request.bytes, 0, 0);
+    cost += PathCost(record.request);
   }
   return cost;
 }
@@ -705,10 +750,7 @@
   endpoint.Start(attempt, work, now);
   if (record.request.may_repeat && !is_hedge &&
       record.attempts < record.request.max_attempts) {
-    hedges_due_.erase({record.hedge_at, record.request.key});
-    record.hedge_at =
-        now + std::chrono::duration_cast<time_span>(work * kHedgeDelayFactor);
-    hedges_due_.insert({record.hedge_at, record.request.key});
+    ScheduleHedge(record, now);
   }
   hooks_.grant({record.request.key, record.request.caller_id, attempt,
                 endpoint.entry(), is_hedge, reason});
@@ -786,6 +828,13 @@
   queue_keys_.erase(found);
 }
 
+void slot_scheduler::ScheduleHedge(request_record& record, monotonic_time now) {
+  hedges_due_.erase({record.hedge_at, record.request.key});
+  record.hedge_at =
+      now + HedgeDelay(UsualWork(record.request), HedgeTransferTime(record));
+  hedges_due_.insert({record.hedge_at, record.request.key});
+}
+
 void slot_scheduler::CheckHedges(monotonic_time now) {
   while (!hedges_due_.empty() && hedges_due_.begin()->first <= now) {
     const request_key key = hedges_due_.begin()->second;
@@ -793,6 +842,12 @@
     request_record& record = requests_.at(key);
     if (record.is_waiting || record.running.size() != 1)
       continue;
+    // The time left only shrinks.
+    if (!CanHedgeInTime(UsualWork(record.request), HedgeTransferTime(record),
+                        record.request.deadline - now)) {
+      ++counters_.late_hedges;
+      continue;
+    }
     // A hedge is queued only while no other request waits.
     if (waiting_.empty() && HasIdleCapacity(now) &&
         allocation_.MayHedge(Budget(now), now)) {
@@ -911,7 +966,7 @@
 
 monotonic_time slot_scheduler::LatestStart(const slot_request& request) const {
   return request.arrival + request.goal -
-         Scale(UsualWork(request), kGoalMarginFactor);
+         Scale(UsualWork(request), kGoalMarginFactor) - TransferTime(request);
 }
 
 bool slot_scheduler::MayTakeContendedSlot(request_record& record,
@@ -1002,6 +1057,33 @@
   return FirstEstimate(request);
 }
 
+time_span slot_scheduler::TransferTime(const slot_request& request) const {
+  const auto found = answer_sizes_.find(request.work_class);
+  return found == answer_sizes_.end()
+             ? time_span(0)
+             : found->second.TransferTime(request.link_bytes_per_second);
+}
+
+time_span slot_scheduler::PathCost(const slot_request& request) const {
+  const auto found = answer_sizes_.find(request.work_class);
+  const std::uint64_t answer_bytes =
+      found == answer_sizes_.end() ? 0 : found->second.bytes();
+  return zone_overflow::PathCost(
+      request.bytes, answer_bytes,
+      static_cast<double>(request.link_bytes_per_second));
+}
+
+time_span slot_scheduler::HedgeTransferTime(
+    const request_record& record) const {
+  const slot_request& request = record.request;
+  const auto found = answer_sizes_.find(request.work_class);
+  if (found == answer_sizes_.end())
+    return time_span(0);
+  return std::max(TransferTime(request),
+                  found->second.TransferTimeOf(record.answer_bytes,
+                                               request.link_bytes_per_second));
+}
+
 void slot_scheduler::ScheduleWakeUp(monotonic_time due) {
   if (!wake_at_ || due < *wake_at_)
     wake_at_ = due;
@@ -1039,6 +1121,8 @@
   sum.useful_slots = contention.UsefulSlots(sum.slots);
   for (const auto& [work_class, estimate] : estimates_)
     sum.usual_work[work_class] = estimate.usual();
+  for (const auto& [work_class, estimate] : answer_sizes_)
+    sum.answer_bytes[work_class] = estimate.bytes();
   return sum;
 }
 
@@ -1052,6 +1136,11 @@
                          {"cold", endpoint.IsCold(now)},
                          {"ejected", endpoint.IsEjected(now)}});
   }
+  nlohmann::json answers = nlohmann::json::object();
+  for (const auto& [work_class, estimate] : answer_sizes_) {
+    answers[work_class] = {{"bytes", estimate.bytes()},
+                           {"link_crowding", estimate.crowding()}};
+  }
   return {{"waiting", waiting_.size()},
           {"requests", requests_.size()},
           {"mean_holding_ms", ToMilliseconds(holding_time_.mean())},
@@ -1059,10 +1148,12 @@
           {"repeats_in_window", repeats_.repeats()},
           {"requests_in_window", repeats_.requests()},
           {"endpoints", endpoints},
+          {"answers", answers},
           {"counters",
            {{"requests", counters_.requests},
             {"grants", counters_.grants},
             {"hedges", counters_.hedges},
+            {"late_hedges", counters_.late_hedges},
             {"retries", counters_.retries},
             {"probes", counters_.probes},
             {"rejections", counters_.rejections},
--- a/servers/scheduling/slot_scheduler.h
+++ b/servers/scheduling/slot_scheduler.h
@@ -18,6 +18,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/random_source.h"
+#include "servers/scheduling/answer_size_estimate.h"
 #include "servers/scheduling/endpoint_slots.h"
 #include "servers/scheduling/refusal_estimate.h"
 #include "servers/scheduling/repeat_allocation.h"
@@ -34,6 +35,8 @@
   std::uint64_t requests = 0;
   std::uint64_t grants = 0;
   std::uint64_t hedges = 0;
+  // Hedges that were due, but whose response could not arrive in time.
+  std::uint64_t late_hedges = 0;
   std::uint64_t retries = 0;
   std::uint64_t probes = 0;
   std::uint64_t rejections = 0;
@@ -69,12 +72,21 @@
              const std::string& endpoint_id,
              monotonic_time now);
 
-  // Reports the end of an attempt.
+  // Reports the end of an attempt. `transfer` is set for a complete response
+  // with a body.
   void Report(const request_key& key,
               std::uint64_t attempt,
               attempt_outcome outcome,
               const std::optional<endpoint_load>& load,
-              monotonic_time now);
+              monotonic_time now,
+              const std::optional<answer_transfer>& transfer = std::nullopt);
+
+  // Reports that the body of an attempt's response is arriving: its expected
+  // size and the time so far.
+  void ReportTransferStart(const request_key& key,
+                           std::uint64_t attempt,
+                           const answer_transfer& transfer,
+                           monotonic_time now);
 
   // Removes a request and ends its running attempts as cancelled.
   void Cancel(const request_key& key, monotonic_time now);
@@ -124,7 +136,8 @@
     int useful_slots = 0;          // Of these, usable at full throughput.
     int stragglers = 0;            // Slower than they report.
     time_span mean_holding_time{0};
-    std::map<std::string, time_span> usual_work;  // By work class.
+    std::map<std::string, time_span> usual_work;        // By work class.
+    std::map<std::string, std::uint64_t> answer_bytes;  // By work class.
   };
   summary Summarize(monotonic_time now) const;
 
@@ -147,6 +160,7 @@
     // When the request first waited although a contended slot was free.
     std::optional<monotonic_time> avoids_contention_since;
     monotonic_time hedge_at;           // When a hedge is due.
+    std::uint64_t answer_bytes = 0;    // Of a response that is arriving.
     bool has_reserved_repeat = false;  // The next repeat is already counted.
     bool may_have_run = false;
     bool is_return = false;  // The caller has tried before.
@@ -264,6 +278,14 @@
   bool HasUsableEndpoint() const;
   bool HasFreeSlot(monotonic_time now) const;
   time_span UsualWork(const slot_request& request) const;
+  // Expected time of the transfer of the response over the holder's link.
+  time_span TransferTime(const slot_request& request) const;
+  // Cost of sending the request to another zone.
+  time_span PathCost(const slot_request& request) const;
+  // The transfer of a hedge, whose request's first response may be arriving.
+  time_span HedgeTransferTime(const request_record& record) const;
+  // Sets when a hedge of the request is due, counted from `now`.
+  void ScheduleHedge(request_record& record, monotonic_time now);
   void ScheduleWakeUp(monotonic_time due);
 
   slot_settings settings_;
@@ -277,7 +299,8 @@
   std::map<request_key, queue_key> queue_keys_;
   // Requests that may be hedged, by the due time of the hedge.
   std::set<std::pair<monotonic_time, request_key>> hedges_due_;
-  std::map<std::string, work_estimate> estimates_;  // By work class.
+  std::map<std::string, work_estimate> estimates_;            // By work class.
+  std::map<std::string, answer_size_estimate> answer_sizes_;  // By work class.
   work_estimate
       holding_time_;  // Time that attempts occupy a slot, all classes.
   // Grants since the last one beyond the useful slots of an endpoint.
--- a/tests/servers/scheduling/warm_up_limit_test.cc
+++ b/tests/servers/scheduling/warm_up_limit_test.cc
@@ -235,11 +235,12 @@
   entry.slots = 3;
   for (const double rate : {0.0, kRate}) {
     monotonic_time now = start;
-    endpoint_slots endpoint(entry, 30, now);
+    service_performance performance;
+    endpoint_slots endpoint(entry, 30, &performance, now);
     endpoint.SetWarmUpRate(rate, now);
     now += seconds(1);
     LONGS_EQUAL(3, endpoint.FreeSlots(now));
-    endpoint.Start(1, milliseconds(100), 1, now);
+    endpoint.Start(1, milliseconds(100), now);
     endpoint.End(1, attempt_outcome::kUnreachable, now);
     now += seconds(5);
     LONGS_EQUAL(rate > 0 ? 0 : 3, endpoint.FreeSlots(now));
@@ -248,7 +249,7 @@
     CHECK(ProbeSoon(endpoint, now));
     endpoint.EndProbe(std::nullopt, now);
     CHECK(endpoint.FreeSlots(now) > 0);
-    endpoint.Start(2, milliseconds(100), 1, now);
+    endpoint.Start(2, milliseconds(100), now);
     if (rate > 0)
       LONGS_EQUAL(0, endpoint.FreeSlots(now));
     endpoint.End(2, attempt_outcome::kAnswered, now + milliseconds(100));
