Measure what a VM does at the start of a whole fleet

A new section fleet_start of papayakeel_measure takes the processor time of decoding and applying a listing with the listener of a slot_link that owns 0, 1 and 4 shards, and counts notifications. For fleets that start at once it counts table requests and records and measures the processor time for each VM.

--- a/misc/measure/main.cc
+++ b/misc/measure/main.cc
@@ -12,6 +12,7 @@
 
 #include "misc/measure/bundle_section.h"
 #include "misc/measure/dispatch_section.h"
+#include "misc/measure/fleet_start_section.h"
 #include "misc/measure/membership_section.h"
 #include "misc/measure/placement_section.h"
 #include "misc/measure/section_registry.h"
@@ -28,6 +29,7 @@
 void RegisterSections(section_registry& registry) {
   papayakeel::measure::RegisterBundleSection(registry);
   papayakeel::measure::RegisterDispatchSection(registry);
+  papayakeel::measure::RegisterFleetStartSection(registry);
   papayakeel::measure::RegisterMembershipSection(registry);
   papayakeel::measure::RegisterPlacementSection(registry);
 }
--- a/misc/measure/membership_fleet.cc
+++ b/misc/measure/membership_fleet.cc
@@ -62,7 +62,7 @@
   hooks.send = [this](const network_address& to, const peer_message& message) {
     Send(to, message);
   };
-  hooks.members_changed = [] {};
+  hooks.members_changed = [this] { ++notifications_; };
   hooks.no_answer = [](const network_address&) {};
   member self = MakeSelf(index, generator_());
   if (newest_ != bundle_pair{0, 0})
@@ -87,6 +87,10 @@
   bytes_ += size;
   if (message.type == peer_message_type::kBundle)
     bundle_bytes_ += size;
+  if (message.type == peer_message_type::kTableRequest)
+    ++table_requests_;
+  if (message.type == peer_message_type::kTable)
+    table_records_ += message.updates.size();
   events_.push(std::move(sent));
 }
 
@@ -195,6 +199,15 @@
   messages_ = 0;
   bytes_ = 0;
   bundle_bytes_ = 0;
+  table_requests_ = 0;
+  table_records_ = 0;
+  notifications_ = 0;
+}
+
+bool membership_fleet::IsJoined() const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [this](const node& each) {
+    return each.protocol->table().live_size() + 1 == nodes_.size();
+  });
 }
 
 std::uint64_t membership_fleet::refutations() const {
--- a/misc/measure/membership_fleet.h
+++ b/misc/measure/membership_fleet.h
@@ -48,6 +48,13 @@
   std::uint64_t messages() const { return messages_; }
   std::uint64_t bytes() const { return bytes_; }
   std::uint64_t bundle_bytes() const { return bundle_bytes_; }
+  // Tables requested and records of tables received, by all members.
+  std::uint64_t table_requests() const { return table_requests_; }
+  std::uint64_t table_records() const { return table_records_; }
+  // Calls of `members_changed`, of all members.
+  std::uint64_t notifications() const { return notifications_; }
+  // Whether every member knows all others.
+  bool IsJoined() const;
   // Suspicions that were false are seen as refutations.
   std::uint64_t refutations() const;
 
@@ -93,6 +100,9 @@
   std::uint64_t messages_ = 0;
   std::uint64_t bytes_ = 0;
   std::uint64_t bundle_bytes_ = 0;
+  std::uint64_t table_requests_ = 0;
+  std::uint64_t table_records_ = 0;
+  std::uint64_t notifications_ = 0;
 };
 
 }  // namespace papayakeel::measure
