Notify listeners once per service for a listing or a batch of changes

endpoint_registry notified its listeners for each entry, and the owner of a shard then collects and sorts all endpoints of the service: quadratic in the endpoints of a service. state_feed now handles each answer of the store or of a relay within a batch, which ends with that event. Lookups still return each change immediately. The pages of the first listing take effect together, so that no owner works with a part of them.

--- a/misc/measure/fleet_start_section.cc
+++ b/misc/measure/fleet_start_section.cc
@@ -124,6 +124,7 @@
   }
 
   void Apply(const std::vector<store_change>& changes) {
+    const endpoint_registry::batch applied(*endpoints_);
     for (const store_change& change : changes) {
       if (const auto* entry = std::get_if<endpoint_entry>(&change.value))
         endpoints_->Put(*entry);
--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -164,7 +164,10 @@
                       const std::size_t bytes = call_bytes_;
                       const monotonic_time called_at = call_started_at_;
                       const network_address source = source_;
-                      (this->*handle)(answer);
+                      {
+                        const endpoint_registry::batch changes(*endpoints_);
+                        (this->*handle)(answer);
+                      }
                       if (bytes >= kLargeAnswerBytes) {
                         LogLargeAnswer(source, bytes, received_at - called_at,
                                        event_loop::Now() - received_at);
@@ -229,7 +232,9 @@
   listed_changes_.insert(listed_changes_.end(), page->changes.begin(),
                          page->changes.end());
   const bool is_held_back = listing_kind_ == listing_kind::kMayBeOutdated;
-  if (!is_held_back)
+  // The first listing takes effect as a whole: nothing may be served by a part
+  // of it, and owners of shards need not sort their endpoints for each page.
+  if (has_listing_)
     ApplyListed(page->changes);
   if (page->has_more && !page->last_key.empty())
     return List(page->last_key);
@@ -238,6 +243,8 @@
     relay_confirmation_end_ = event_loop::Now() + kMaxConfirmationWait;
     position_ = *listing_position_;
   } else {
+    if (!has_listing_)
+      ApplyListed(listed_changes_);
     FinishListing();
     if (!IsFollowing())
       relay_->SetConfirmed();
@@ -297,6 +304,7 @@
          {"revision", std::to_string(position_.revision)}});
   }
   has_listing_ = true;
+  endpoints_->SetListed();
 }
 
 bool state_feed::HasJoined() const {
@@ -673,6 +681,7 @@
 void state_feed::RemoveMissing() {
   const bool may_return = event_loop::Now() < reappearance_deadline_;
   const std::set<std::string> ids = missing_ids_;
+  const endpoint_registry::batch changes(*endpoints_);
   for (const std::string& id : ids) {
     if (may_return && !IsMissingShareSmall(id))
       continue;
--- a/servers/discovery/endpoint_registry.cc
+++ b/servers/discovery/endpoint_registry.cc
@@ -105,6 +105,7 @@
 }
 
 void endpoint_registry::RetainOnly(const std::set<std::string>& ids) {
+  const batch changes(*this);
   std::vector<std::string> removed_ids;
   for (const auto& [id, entry] : entries_) {
     if (ids.count(id) == 0)
@@ -159,7 +160,29 @@
   return {{"endpoints", entries}};
 }
 
-void endpoint_registry::Notify(const std::string& service_name) const {
+endpoint_registry::batch::batch(endpoint_registry& registry)
+    : registry_(registry) {
+  ++registry_.open_batches_;
+}
+
+endpoint_registry::batch::~batch() {
+  registry_.EndBatch();
+}
+
+void endpoint_registry::EndBatch() {
+  if (--open_batches_ > 0)
+    return;
+  const std::set<std::string> changed = std::move(changed_services_);
+  changed_services_.clear();
+  for (const std::string& service_name : changed)
+    Notify(service_name);
+}
+
+void endpoint_registry::Notify(const std::string& service_name) {
+  if (open_batches_ > 0) {
+    changed_services_.insert(service_name);
+    return;
+  }
   for (const listener& each : listeners_)
     each(service_name);
 }
--- a/servers/discovery/endpoint_registry.h
+++ b/servers/discovery/endpoint_registry.h
@@ -3,6 +3,7 @@
 #ifndef SERVERS_DISCOVERY_ENDPOINT_REGISTRY_H_
 #define SERVERS_DISCOVERY_ENDPOINT_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -22,6 +23,21 @@
   // Called with the name of the service whose endpoints have changed.
   using listener = std::function<void(const std::string& service)>;
 
+  // Changes that are made during its lifetime cause one notification for each
+  // changed service, when the outermost batch ends. Lookups return each change
+  // immediately. A batch must end within the event that began it, so that no
+  // listener learns late of an endpoint that leaves.
+  class batch {
+   public:
+    explicit batch(endpoint_registry& registry);
+    ~batch();
+    batch(const batch&) = delete;
+    batch& operator=(const batch&) = delete;
+
+   private:
+    endpoint_registry& registry_;
+  };
+
   std::string_view name() const override { return kName; }
   nlohmann::json DumpState() const override;
 
@@ -41,6 +57,11 @@
   // the store.
   void RetainOnly(const std::set<std::string>& ids);
 
+  // Records that a complete listing has been applied since the start. Until
+  // then, endpoints may be missing.
+  void SetListed() { is_listed_ = true; }
+  bool is_listed() const { return is_listed_; }
+
   // Sorted ids of the endpoints of a service, including those that are leaving.
   const std::vector<std::string>& IdsOf(const std::string& service) const;
   std::vector<endpoint_entry> All() const;
@@ -50,7 +71,9 @@
   void Subscribe(listener added) { listeners_.push_back(std::move(added)); }
 
  private:
-  void Notify(const std::string& service) const;
+  // Notifies the listeners, or defers the notification to the end of the batch.
+  void Notify(const std::string& service);
+  void EndBatch();
   void DropOldAnnouncements();
 
   void AddToService(const endpoint_entry& entry);
@@ -65,6 +88,9 @@
   // copy may list it again.
   std::map<std::string, std::uint64_t> announced_;
   std::vector<listener> listeners_;
+  bool is_listed_ = false;
+  std::size_t open_batches_ = 0;
+  std::set<std::string> changed_services_;  // Empty without an open batch.
 };
 
 }  // namespace papayakeel
--- a/tests/servers/discovery/endpoint_registry_test.cc
+++ b/tests/servers/discovery/endpoint_registry_test.cc
@@ -59,6 +59,33 @@
   LONGS_EQUAL(0, registry.size());
 }
 
+// Guards against a notification for each entry of a batch, against changes that
+// lookups do not see before the batch ends, and against news that stays behind
+// when the batch has ended.
+TEST(endpoint_registry, BatchNotifiesOncePerService) {
+  endpoint_registry registry;
+  std::vector<std::string> reported;
+  registry.Subscribe(
+      [&reported](const std::string& service) { reported.push_back(service); });
+  {
+    const endpoint_registry::batch outer(registry);
+    for (int index = 0; index < 100; ++index) {
+      const endpoint_registry::batch inner(registry);
+      endpoint_entry entry = MakeEntry("i-" + std::to_string(index), 1000, 1);
+      entry.service = index % 2 == 0 ? "even" : "odd";
+      registry.Put(entry);
+    }
+    registry.MarkLeaving("i-1", 1000);
+    CHECK(registry.Find("i-1")->is_leaving);
+    LONGS_EQUAL(0, reported.size());
+  }
+  CHECK(reported == (std::vector<std::string>{"even", "odd"}));
+  { const endpoint_registry::batch unchanged(registry); }
+  LONGS_EQUAL(2, reported.size());
+  CHECK(registry.MarkLeaving("i-2", 1000));
+  LONGS_EQUAL(3, reported.size());
+}
+
 // Guards against an endpoint that gets work again after it said that it leaves,
 // because its entry, or a restored store, lists it as ready.
 TEST(endpoint_registry, AnnouncedLeavingHoldsForAStart) {
