Send no table to a member that has the same one

A process that joins requests tables until three in a row bring nobody new, so each VM of a fleet that starts at once received the whole table three times for nothing. A table request now carries the digest of the requester's table, and the answer has no records if the digests are equal. Requests of earlier versions carry none and get the whole table.

The digest is updated with each change instead of being computed from all entries after it, and a received message no longer passes over all entries to find other processes at its sender's address.

--- a/servers/membership/gossip_protocol.cc
+++ b/servers/membership/gossip_protocol.cc
@@ -238,8 +238,11 @@
   Send(address, MakeMessage(peer_message_type::kTableRequest));
 }
 
-void gossip_protocol::SendTable(const member& requesting_member) {
-  std::vector<member> live = table_.Live();
+void gossip_protocol::SendTable(const member& requesting_member,
+                                std::uint64_t digest) {
+  std::vector<member> live;
+  if (digest != table_.Digest())
+    live = table_.Live();
   const std::optional<member> refutable_record =
       table_.FindRefutableRecord(KeyOf(requesting_member));
   if (refutable_record && refutable_record->state == member_state::kDead)
@@ -286,7 +289,7 @@
       OnAck(message);
       break;
     case peer_message_type::kTableRequest:
-      SendTable(sender);
+      SendTable(sender, message.digest);
       if (!was_live && may_request_table)
         RequestTable(sender.peer_address, now);
       break;
@@ -426,7 +429,8 @@
   if (message.type != peer_message_type::kTable)
     AddUpdates(to, message);
   const bool has_digest = message.type == peer_message_type::kPing ||
-                          message.type == peer_message_type::kAck;
+                          message.type == peer_message_type::kAck ||
+                          message.type == peer_message_type::kTableRequest;
   if (has_digest)
     message.digest = table_.Digest();
   hooks_.send(to, std::move(message));
--- a/servers/membership/gossip_protocol.h
+++ b/servers/membership/gossip_protocol.h
@@ -151,7 +151,8 @@
   void ContinueJoin(monotonic_time now);
   void PingContested();
   void RequestTable(const network_address& address, monotonic_time now);
-  void SendTable(const member& requesting_member);
+  // Sends no records to a member whose table has the same digest.
+  void SendTable(const member& requesting_member, std::uint64_t digest);
   void Send(const network_address& to, peer_message message);
   void AddUpdates(const network_address& to, peer_message& message);
   void OnPingRequest(const peer_message& message, monotonic_time now);
--- a/servers/membership/member_table.cc
+++ b/servers/membership/member_table.cc
@@ -81,8 +81,9 @@
   if (!IsEquivalent(known, joined)) {
     if (known.state != joined.state)
       found->second.changed_at = now;
+    ToggleInDigest(known);
     known = joined;
-    digest_.reset();
+    ToggleInDigest(known);
     changed_(known, now);
     return merge_outcome::kChanged;
   }
@@ -110,7 +111,6 @@
   if (is_refuted || is_counter_exhausted)
     return merge_outcome::kUnchanged;
   self_.counter = report.counter + 1;
-  digest_.reset();
   return merge_outcome::kSelfRefuted;
 }
 
@@ -120,7 +120,7 @@
     return merge_outcome::kRefused;
   }
   entries_[KeyOf(report)] = entry{report, now, std::nullopt};
-  digest_.reset();
+  ToggleInDigest(report);
   changed_(report, now);
   return merge_outcome::kChanged;
 }
@@ -134,9 +134,13 @@
   found->second.last_message_at = now;
   if (found->second.record.state == member_state::kDead)
     return outcome;
-  for (auto& [key, other] : entries_) {
-    if (key.first == sender.peer_address && key.second != sender.incarnation)
-      SetState(key, member_state::kDead, now);
+  // Entries are ordered by address. This runs for each message, so it must not
+  // depend on the size of the fleet.
+  for (auto each = entries_.lower_bound({sender.peer_address, 0});
+       each != entries_.end() && each->first.first == sender.peer_address;
+       ++each) {
+    if (each->first.second != sender.incarnation)
+      SetState(each->first, member_state::kDead, now);
   }
   return outcome;
 }
@@ -155,8 +159,9 @@
   const auto found = entries_.find(key);
   if (found == entries_.end() || found->second.record.state >= state)
     return;
+  ToggleInDigest(found->second.record);
   found->second.record.state = state;
-  digest_.reset();
+  ToggleInDigest(found->second.record);
   found->second.changed_at = now;
   changed_(found->second.record, now);
 }
@@ -222,7 +227,6 @@
   self_.caller_address = self.caller_address;
   self_.availability_zone = self.availability_zone;
   ++self_.counter;
-  digest_.reset();
   return true;
 }
 
@@ -302,16 +306,13 @@
   return refutable_record;
 }
 
+void member_table::ToggleInDigest(const member& record) {
+  if (record.state != member_state::kDead)
+    others_digest_ ^= HashRecord(record);
+}
+
 std::uint64_t member_table::Digest() const {
-  if (digest_)
-    return *digest_;
-  std::uint64_t digest = HashRecord(self_);
-  for (const auto& [key, each] : entries_) {
-    if (each.record.state != member_state::kDead)
-      digest ^= HashRecord(each.record);
-  }
-  digest_ = digest;
-  return digest;
+  return others_digest_ ^ HashRecord(self_);
 }
 
 }  // namespace papayakeel
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -135,6 +135,8 @@
   // Removes the entry that has been dead longest. Returns false if no entry is
   // dead.
   bool EvictOldestDead();
+  // Adds a record to the digest or takes it out again.
+  void ToggleInDigest(const member& record);
   void ReplaceByTombstone(std::map<member_key, entry>::iterator position);
   void SetState(const member_key& key, member_state state, monotonic_time now);
 
@@ -147,9 +149,10 @@
   std::unordered_map<std::uint64_t, std::uint64_t> tombstones_;
   std::deque<std::uint64_t> tombstone_order_;
   std::uint64_t refused_total_ = 0;
-  // Cached digest, reset by each change. Without the cache, computing the
-  // digest takes most of the processing time of a message in a fleet of 240.
-  mutable std::optional<std::uint64_t> digest_;
+  // XOR of the hashes of all live entries, updated with each change. Computing
+  // it from all entries for each message takes most of the processing time of a
+  // fleet of 240 that starts, because the table changes with each message.
+  std::uint64_t others_digest_ = 0;
 };
 
 }  // namespace papayakeel
--- a/servers/membership/peer_message.h
+++ b/servers/membership/peer_message.h
@@ -19,7 +19,8 @@
   kAck,            // Answers a ping, or a ping request that succeeded.
   kAnnounce,       // Carries updates ahead of the next ping.
   kTableRequest,   // Requests the records of all live members.
-  kTable,          // Part of the reply to a table request.
+  kTable,          // Part of the reply to a table request. Empty if the
+                   // digests are equal.
   kBundleRequest,  // Requests the bundle the receiver announced.
   kBundle,         // A bundle as it was published.
   kFinding,        // Observation of the sender about an endpoint.
@@ -34,8 +35,10 @@
   // Record of the sender. Hello messages carry only its peer address.
   member sender;
 
-  std::uint64_t number = 0;     // Ping, ping request, ack.
-  std::uint64_t digest = 0;     // Ping, ack: digest of the sender's table.
+  std::uint64_t number = 0;  // Ping, ping request, ack.
+  // Ping, ack, table request: digest of the sender's table. 0 in the table
+  // requests of earlier versions.
+  std::uint64_t digest = 0;
   std::vector<member> updates;  // Ping, ping request, ack, announce, table.
   network_address target;       // Ping request.
   std::string published;        // Bundle.
--- a/servers/membership/peer_message_codec.cc
+++ b/servers/membership/peer_message_codec.cc
@@ -274,6 +274,8 @@
     if (message.type != peer_message_type::kPingRequest)
       map["d"] = message.digest;
   }
+  if (message.type == peer_message_type::kTableRequest && message.digest != 0)
+    map["d"] = message.digest;
   if (HasUpdates(message.type) && !message.updates.empty()) {
     json updates = json::array();
     for (const member& each : message.updates)
@@ -349,6 +351,8 @@
     message.number = reader.Number("n");
     message.digest = reader.Number("d");
   }
+  if (message.type == peer_message_type::kTableRequest)
+    message.digest = reader.Number("d");
   if (HasUpdates(message.type))
     DecodeUpdates(reader, message);
   if (message.type == peer_message_type::kPingRequest)
--- a/tests/servers/membership/gossip_protocol_test.cc
+++ b/tests/servers/membership/gossip_protocol_test.cc
@@ -202,4 +202,33 @@
   CHECK(most_changes_a_second <= 11);
 }
 
+// Guards against tables that are sent again to members that have the same one:
+// each VM of a fleet that started at once received the whole table about three
+// times after it knew all members.
+TEST(gossip_protocol, TableIsNotSentToAMemberThatHasIt) {
+  constexpr std::size_t kFleet = 100;
+  fleet_fixture fleet = MakeFleet(9);
+  std::size_t table_records = 0;
+  std::size_t table_requests = 0;
+  fleet.on_send = [&](std::size_t, const peer_message& message) {
+    if (message.type == peer_message_type::kTable)
+      table_records += message.updates.size();
+    if (message.type == peer_message_type::kTableRequest)
+      ++table_requests;
+  };
+  for (std::size_t index = 0; index < kFleet; ++index)
+    fleet.Add(index);
+  fleet.RunFor(seconds(3));
+  CHECK(fleet.IsConverged());
+  std::printf("\n%zu table requests, %zu records of tables for each VM\n",
+              table_requests / kFleet, table_records / kFleet);
+  CHECK(table_records / kFleet <= 3 * kFleet);
+  // A member whose table differs still gets all records.
+  table_records = 0;
+  fleet.Add(kFleet);
+  fleet.RunFor(seconds(20));
+  CHECK(fleet.IsConverged());
+  CHECK(table_records >= kFleet);
+}
+
 }  // namespace papayakeel
