Refer requests to another owner while an owner is not ready

After all VMs were killed, a VM without a listing received requests of shards that it owns and refused them as having no endpoint, with a Retry-After of 500 ms, although VMs that were ready could serve them. It now answers a submit or an adopt with the new message not_ready. The holder then excludes that owner for 300 ms and asks the next one. Such requests are not marked as counted for repeats, because the owner has not counted them.

--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -30,6 +31,11 @@
 // How long an owner that did not answer is excluded.
 constexpr time_span kOwnerExclusionTime = std::chrono::seconds(2);
 
+// How long an owner that is not ready is excluded. A VM that has just started
+// is ready within about a second. A longer exclusion would delay the return to
+// the one owner that all members choose.
+constexpr time_span kUnreadyOwnerExclusionTime = std::chrono::milliseconds(300);
+
 // Draws of an endpoint outside evacuated zones, which determines the shard of a
 // request. With three of four zones evacuated, one draw sequence in 10,000
 // finds none.
@@ -95,7 +101,10 @@
     }
   });
   zones_->Subscribe([this] { RefreshZones(); });
-  directory_->Subscribe([this] { ReassignRequests(); });
+  directory_->Subscribe([this] {
+    owners_.clear();
+    ReassignRequests();
+  });
   link_->SetLeavingHook([this](const endpoint_exchange& exchange) {
     OnEndpointLeaving(exchange.endpoint_id, exchange.endpoint_started_unix_ms,
                       "answer");
@@ -177,12 +186,23 @@
   return entry != nullptr && zones_->Contains(entry->availability_zone);
 }
 
-network_address slot_link::OwnerOf(const service_shard& shard) const {
+network_address slot_link::OwnerOf(const service_shard& shard) {
   const monotonic_time now = event_loop::Now();
+  for (auto each = excluded_until_.begin(); each != excluded_until_.end();)
+    each = now < each->second ? std::next(each) : excluded_until_.erase(each);
+  if (!excluded_until_.empty())
+    return SelectOwner(shard);
+  const auto known = owners_.find(shard);
+  return known != owners_.end()
+             ? known->second
+             : owners_.emplace(shard, SelectOwner(shard)).first->second;
+}
+
+network_address slot_link::SelectOwner(const service_shard& shard) {
+  ++owner_selections_;
   const std::vector<member> owners = SelectMembersForDuty(
-      shard.Name(), directory_->members(), 1, [this, now](const member& each) {
-        const auto exclusion = excluded_until_.find(each.peer_address);
-        return exclusion != excluded_until_.end() && now < exclusion->second;
+      shard.Name(), directory_->members(), 1, [this](const member& each) {
+        return excluded_until_.count(each.peer_address) > 0;
       });
   return owners.empty() ? directory_->self().peer_address
                         : owners.front().peer_address;
@@ -479,7 +499,15 @@
   ReassignRequests();
 }
 
-void slot_link::ReassignRequests() {
+void slot_link::OnOwnerNotReady(const network_address& owner) {
+  ++unready_owners_;
+  excluded_until_[owner] = event_loop::Now() + kUnreadyOwnerExclusionTime;
+  Log(log_level::kInfo, "owner_not_ready", {{"owner", owner.ToString()}});
+  ReassignRequests(owner);
+}
+
+void slot_link::ReassignRequests(
+    const std::optional<network_address>& unready_owner) {
   if (is_stopped_)
     return;
   std::map<service_shard, network_address> owners;
@@ -500,8 +528,8 @@
          {"to", owner.ToString()}});
     SendToOwner(held.owner, MakeMessage(slot_message_type::kCancel, held.shard,
                                         held.request.key));
+    held.request.was_counted |= held.owner != unready_owner;
     held.owner = owner;
-    held.request.was_counted = true;
     held.unanswered_messages = 0;
     for (const auto& [attempt, endpoint_id] : held.attempts) {
       slot_message adopt =
@@ -634,16 +662,39 @@
     case slot_message_type::kAdopt:
     case slot_message_type::kReport:
     case slot_message_type::kCancel:
-      OnOwnerMessage(message);
+      if (IsReadyToOwn())
+        OnOwnerMessage(message);
+      else
+        OnEarlyOwnerMessage(message);
       return;
     case slot_message_type::kQueued:
     case slot_message_type::kGrant:
     case slot_message_type::kReject:
+    case slot_message_type::kNotReady:
       OnHolderMessage(message, sender_host);
       return;
   }
 }
 
+bool slot_link::IsReadyToOwn() const {
+  return endpoints_->is_listed() && state_store_->routes() != nullptr;
+}
+
+void slot_link::OnEarlyOwnerMessage(const slot_message& message) {
+  // An owner without a complete listing would refuse the request although it
+  // can be served, or crowd the few endpoints that it knows.
+  if (message.type == slot_message_type::kSubmit ||
+      message.type == slot_message_type::kAdopt) {
+    SendToHolder(MakeMessage(slot_message_type::kNotReady, message.shard,
+                             message.request.key));
+  }
+  if (message.leaving_endpoint) {
+    OnEndpointLeaving(message.leaving_endpoint->id,
+                      message.leaving_endpoint->started_unix_ms,
+                      message.request.key.entry_vm);
+  }
+}
+
 void slot_link::OnOwnerMessage(const slot_message& message) {
   const monotonic_time now = event_loop::Now();
   const request_key& key = message.request.key;
@@ -693,6 +744,8 @@
     return;
   }
   held_request& held = found->second;
+  if (message.type == slot_message_type::kNotReady)
+    return OnOwnerNotReady(network_address(held.owner));
   held.unanswered_messages = 0;
   held.resend_at = event_loop::Now() + kQueuedPollInterval;
   if (message.type == slot_message_type::kReject) {
@@ -734,6 +787,8 @@
     shards[shard.Name()] = owned.scheduler->DumpState(now);
   return {{"held_requests", held_.size()},
           {"owner_failures", owner_failures_},
+          {"owner_selections", owner_selections_},
+          {"unready_owners", unready_owners_},
           {"stale_grants", stale_grants_},
           {"announced_leavings", announced_leavings_},
           {"datagrams_refused", datagrams_refused_},
--- a/modules/slot_link/slot_link.h
+++ b/modules/slot_link/slot_link.h
@@ -99,7 +99,9 @@
   // Returns the shard for the next request of this VM. Each shard is chosen in
   // proportion to its number of endpoints outside evacuated zones.
   service_shard ChooseShard(const std::string& service_name);
-  network_address OwnerOf(const service_shard& shard) const;
+  network_address OwnerOf(const service_shard& shard);
+  // Ranks all members outside `excluded_until_`.
+  network_address SelectOwner(const service_shard& shard);
   // Returns the shard, creating its scheduler when this process did not own it.
   owned_shard& EnsureOwned(const service_shard& shard);
   std::vector<endpoint_entry> EndpointsOf(const service_shard& shard) const;
@@ -118,7 +120,10 @@
   void StartProbe(const service_shard& shard, const endpoint_entry& endpoint);
 
   void Submit(held_request& held);
-  void ReassignRequests();
+  // Gives each request whose shard has another owner to that owner. Requests of
+  // `unready_owner` were not counted there.
+  void ReassignRequests(
+      const std::optional<network_address>& unready_owner = std::nullopt);
   void OnGrant(const service_shard& shard,
                const network_address& owner,
                const slot_grant& grant);
@@ -133,6 +138,8 @@
                          std::uint64_t started_unix_ms,
                          std::string_view source);
   void ExcludeOwner(const network_address& owner);
+  // Passes requests on to another owner until `owner` is ready.
+  void OnOwnerNotReady(const network_address& owner);
   void RunTimer();
   void CheckUnansweredRequests();
   // Logs the state of shards with requests, at a limited rate.
@@ -146,6 +153,11 @@
   void Send(const network_address& peer, const slot_message& message);
   void Receive();
   void OnMessage(const slot_message& message, const std::string& sender_host);
+  // Whether this process may own shards: a desired state and a complete listing
+  // are in force.
+  bool IsReadyToOwn() const;
+  // Handles a message from a holder while this process may not own shards.
+  void OnEarlyOwnerMessage(const slot_message& message);
   // Handles a message from a holder to this process as the owner.
   void OnOwnerMessage(const slot_message& message);
   // Handles a message from an owner to this process as the holder.
@@ -168,9 +180,14 @@
   std::map<service_shard, owned_shard> owned_;
   std::unordered_map<std::uint64_t, held_request> held_;
   std::map<network_address, monotonic_time> excluded_until_;
+  // Owners by the current members, without exclusions. Ranking all members for
+  // each request takes time in proportion to the fleet.
+  std::map<service_shard, network_address> owners_;
   std::uint64_t next_number_;
   monotonic_time shard_states_logged_at_;
   std::uint64_t owner_failures_ = 0;
+  std::uint64_t unready_owners_ = 0;
+  std::uint64_t owner_selections_ = 0;
   std::uint64_t stale_grants_ = 0;
   std::uint64_t announced_leavings_ = 0;
   std::uint64_t datagrams_refused_ = 0;
--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -16,7 +16,7 @@
 
 // Incremented when the layout changes. Other versions are rejected.
 constexpr int kFormatVersion = 2;
-constexpr int kLastType = static_cast<int>(slot_message_type::kCancel);
+constexpr int kLastType = static_cast<int>(slot_message_type::kNotReady);
 constexpr int kLastReason = static_cast<int>(slot_refusal::kAttemptsFailed);
 constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kNotSent);
 
@@ -112,6 +112,7 @@
       break;
     case slot_message_type::kQueued:
     case slot_message_type::kCancel:
+    case slot_message_type::kNotReady:
       break;
   }
   std::string bytes;
@@ -171,6 +172,7 @@
         break;
       case slot_message_type::kQueued:
       case slot_message_type::kCancel:
+      case slot_message_type::kNotReady:
         break;
     }
     return message;
--- a/modules/slot_link/slot_message.h
+++ b/modules/slot_link/slot_message.h
@@ -23,6 +23,9 @@
   kReject,
   kReport,  // An attempt has ended.
   kCancel,  // The request no longer needs a slot.
+  // The receiver of a submit or an adopt has just started and cannot own a
+  // shard yet. Another member is to be asked.
+  kNotReady,
 };
 
 // One start of an endpoint.
