--- a/misc/measure/fleet_start_section.cc
+++ b/misc/measure/fleet_start_section.cc
@@ -147,6 +147,7 @@
   const double endpoints = static_cast<double>(count);
   const double decode_start = ProcessorMs();
   std::vector<store_page> read;
+  read.reserve(pages.size());
   for (const std::string& page : pages)
     read.push_back(contract.read_list(200, page).value());
   measured->push_back({"decode_listing",
