--- a/modules/slot_link/slot_message.h
+++ b/modules/slot_link/slot_message.h
@@ -26,6 +26,9 @@
   // The body of an attempt's response is arriving. Not sent for short
   // transfers, and not resent: the report has the transfer time.
   kTransferStart,
+  // The receiver of a submit or an adopt has just started and cannot own a
+  // shard yet. Another member is to be asked.
+  kNotReady,
 };
 
 // One start of an endpoint.
