Report a directory as an unreadable file in papayakeelctl

Cause: ReadFile iterated over the stream buffer, which throws when a read fails. A directory can be opened but not read, so a command with the path of a directory ended with SIGABRT. It was seen with the new command "state check" (status 134, std::__ios_failure); every command reads files with this function.

Change: read blocks with istream::read, which sets the state of the stream.

The test was not run without the change.

--- a/main/client/client_files.cc
+++ b/main/client/client_files.cc
@@ -4,10 +4,10 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <fstream>
-#include <iterator>
 #include <optional>
 
 #include "servers/settings/text_rule.h"
@@ -49,8 +49,14 @@
   std::ifstream file(path, std::ios::binary);
   if (!file)
     return MakeError(file_error::code::kUnreadable, path);
-  std::string content((std::istreambuf_iterator<char>(file)),
-                      std::istreambuf_iterator<char>());
+  // Iterators over the stream buffer would throw when a read fails, for example
+  // of a directory. `read` sets the state of the stream instead.
+  std::string content;
+  std::array<char, 64 * 1024> buffer{};
+  while (file) {
+    file.read(buffer.data(), buffer.size());
+    content.append(buffer.data(), static_cast<std::size_t>(file.gcount()));
+  }
   if (file.bad())
     return MakeError(file_error::code::kUnreadable, path);
   return content;
--- a/tests/main/client_test.cc
+++ b/tests/main/client_test.cc
@@ -176,6 +176,12 @@
   CHECK(out.str().find(before.substr(5, 64)) == std::string::npos);
 }
 
+// Guards against a path of a directory that ends the program.
+TEST(client, DirectoryIsUnreadable) {
+  LONGS_EQUAL(kExitUsage, Run({"bundle", "check", folder}));
+  STRCMP_CONTAINS("cannot be read", error.str().c_str());
+}
+
 // Guards against a signed bundle that fails verification, and against
 // verification that accepts an unknown signer, a wrong key or altered bytes.
 TEST(client, SignsAndVerifies) {
