Add papayakeelctl state check and state diff

Cause: an operator learned about a faulty desired state only from the entry VMs that refused it, one field at a time, and not at all about undefined services, shadowed routes or limits that contradict each other.

--- a/main/client/client.cc
+++ b/main/client/client.cc
@@ -11,7 +11,9 @@
 #include "main/client/key_generate_command.h"
 #include "main/client/rollout_push_command.h"
 #include "main/client/rollout_watch_command.h"
+#include "main/client/state_check_command.h"
 #include "main/client/state_command.h"
+#include "main/client/state_diff_command.h"
 #include "main/client/why_command.h"
 
 namespace papayakeel {
@@ -34,6 +36,11 @@
       {{"bundle", "sign"}, "sign a bundle", RunBundleSign},
       {{"bundle", "verify"}, "check a signed bundle", RunBundleVerify},
       {{"bundle", "compare"}, "show differences of bundles", RunBundleCompare},
+      // Before "state", because the first match runs.
+      {{"state", "check"},
+       "list every problem of a desired state",
+       RunStateCheck},
+      {{"state", "diff"}, "show differences of desired states", RunStateDiff},
       {{"state"}, "show the state of processes", RunState},
       {{"why"}, "show the reasons of processes' decisions", RunWhy},
       {{"rollout", "push"},
--- a/tests/main/client_test.cc
+++ b/tests/main/client_test.cc
@@ -120,6 +120,9 @@
       {"bundle", "compare", Path("bundle.toml"), Path("token")},
       {"key", "generate", "--id", "a b", "--secret-file", Path("s"),
        "--public-file", Path("p")},
+      {"state", "check"},
+      {"state", "check", "a", "b"},
+      {"state", "diff", "a"},
       {"state", "--address", "127.0.0.1:1"},
       {"state", "--token-file", Path("token")},
       Ask({"state"}, {"localhost:80"}),
@@ -150,6 +153,8 @@
                                                           {"bundle", "sign"},
                                                           {"bundle", "verify"},
                                                           {"bundle", "compare"},
+                                                          {"state", "check"},
+                                                          {"state", "diff"},
                                                           {"state"},
                                                           {"why"},
                                                           {"rollout", "push"},
@@ -385,6 +390,19 @@
   CHECK(split["done"] == false);
 }
 
+// Guards against a file that cannot be read and has the exit status of a file
+// with errors, or ends the program.
+TEST(client, UnreadableStateHasDistinctStatus) {
+  const std::string directory = folder;
+  for (const std::string& each : {Path("absent"), directory}) {
+    LONGS_EQUAL(kExitNegative, Run({"state", "check", each}));
+    STRCMP_CONTAINS("cannot be read", error.str().c_str());
+    LONGS_EQUAL(kExitNegative, Run({"state", "diff", Path("token"), each}));
+    STRCMP_CONTAINS("cannot be read", error.str().c_str());
+    STRCMP_EQUAL("", out.str().c_str());
+  }
+}
+
 // Guards against example bundles that the parser rejects.
 TEST(client, ExamplesAreValid) {
   const std::string examples = PAPAYAKEEL_SOURCE_DIR "/misc/examples/";
