--- a/servers/routing/state_check.cc
+++ b/servers/routing/state_check.cc
@@ -16,11 +16,6 @@
   return !text.empty() && text.front() == '/' && text.back() == '/';
 }
 
-// Whether a request that may have run is never sent a second time.
-bool IsOnceOnly(repeat_rule rule) {
-  return rule == repeat_rule::kOnceOnly || rule == repeat_rule::kUpload;
-}
-
 void CheckServices(const located_state& state,
                    std::vector<state_finding>& findings) {
   std::map<std::string, const located_service*> in_effect;
@@ -112,7 +107,7 @@
                         "is longer than " + route.timeout.location, ""});
   }
   if (route.repeat.is_read() && route.max_attempts.is_read() &&
-      IsOnceOnly(route.repeat.value) && route.max_attempts.value > 1) {
+      !PermitsRepeats(route.repeat.value) && route.max_attempts.value > 1) {
     findings.push_back({code::kContradiction, route.max_attempts.location,
                         "is above 1, but requests of the kind at " +
                             route.repeat.location +
