--- a/modules/slot_link/slot_message.cc
+++ b/modules/slot_link/slot_message.cc
@@ -19,7 +19,7 @@
 constexpr int kFormatVersion = 3;
 // Longest limit that a caller may state.
 constexpr std::chrono::microseconds kMaxStatedLimit = std::chrono::minutes(10);
-constexpr int kLastType = static_cast<int>(slot_message_type::kTransferStart);
+constexpr int kLastType = static_cast<int>(slot_message_type::kNotReady);
 constexpr int kLastReason = static_cast<int>(slot_refusal::kAttemptsFailed);
 constexpr int kLastOutcome = static_cast<int>(attempt_outcome::kNotSent);
 
@@ -165,6 +165,7 @@
       break;
     case slot_message_type::kQueued:
     case slot_message_type::kCancel:
+    case slot_message_type::kNotReady:
       break;
   }
   std::string bytes;
@@ -230,6 +231,7 @@
         break;
       case slot_message_type::kQueued:
       case slot_message_type::kCancel:
+      case slot_message_type::kNotReady:
         break;
     }
     return message;
