--- a/tests/servers/membership/gossip_protocol_test.cc
+++ b/tests/servers/membership/gossip_protocol_test.cc
@@ -206,7 +206,7 @@
 // each VM of a fleet that started at once received the whole table about three
 // times after it knew all members.
 TEST(gossip_protocol, TableIsNotSentToAMemberThatHasIt) {
-  constexpr std::size_t kFleet = 100;
+  constexpr std::size_t fleet_size = 100;
   fleet_fixture fleet = MakeFleet(9);
   std::size_t table_records = 0;
   std::size_t table_requests = 0;
@@ -216,19 +216,19 @@
     if (message.type == peer_message_type::kTableRequest)
       ++table_requests;
   };
-  for (std::size_t index = 0; index < kFleet; ++index)
+  for (std::size_t index = 0; index < fleet_size; ++index)
     fleet.Add(index);
   fleet.RunFor(seconds(3));
   CHECK(fleet.IsConverged());
   std::printf("\n%zu table requests, %zu records of tables for each VM\n",
-              table_requests / kFleet, table_records / kFleet);
-  CHECK(table_records / kFleet <= 3 * kFleet);
+              table_requests / fleet_size, table_records / fleet_size);
+  CHECK(table_records / fleet_size <= 3 * fleet_size);
   // A member whose table differs still gets all records.
   table_records = 0;
-  fleet.Add(kFleet);
+  fleet.Add(fleet_size);
   fleet.RunFor(seconds(20));
   CHECK(fleet.IsConverged());
-  CHECK(table_records >= kFleet);
+  CHECK(table_records >= fleet_size);
 }
 
 }  // namespace papayakeel
