--- a/servers/scheduling/zone_overflow.cc
+++ b/servers/scheduling/zone_overflow.cc
@@ -2,7 +2,6 @@
 #include "servers/scheduling/zone_overflow.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace papayakeel {
@@ -17,9 +16,6 @@
 // home until it has seen this much traffic.
 constexpr time_span kLearningTime = std::chrono::seconds(1);
 
-// Time constant of the moving average of arrivals.
-constexpr time_span kRateTimeConstant = std::chrono::seconds(1);
-
 // A request waits for its own zone while the expected wait is at most a share
 // of its slack: this share while the zone needs few of its slots, and none from
 // kBusyUse on. Requests that wait at home leave slots elsewhere unused. In calm
@@ -69,9 +65,7 @@
 
 void zone_overflow::CountArrival(const std::string& home, monotonic_time now) {
   zone_flow& flow = flows_[home];
-  const double time_constant = ToMilliseconds(kRateTimeConstant) / 1000;
-  flow.arrival_rate = ArrivalRate(home, now) + 1 / time_constant;
-  flow.updated_at = now;
+  flow.arrivals.Add(now);
   if (!flow.first_arrival)
     flow.first_arrival = now;
 }
@@ -79,11 +73,7 @@
 double zone_overflow::ArrivalRate(const std::string& zone,
                                   monotonic_time now) const {
   const auto found = flows_.find(zone);
-  if (found == flows_.end())
-    return 0;
-  const double age = ToMilliseconds(now - found->second.updated_at);
-  return found->second.arrival_rate *
-         std::exp(-age / ToMilliseconds(kRateTimeConstant));
+  return found == flows_.end() ? 0 : found->second.arrivals.Rate(now);
 }
 
 void zone_overflow::CountStart(const std::string& home,
@@ -251,7 +241,7 @@
         flow.denied_at && now - *flow.denied_at <= kDenialMemory;
     flow.share += elapsed * (is_short ? kShareGrowth : -kShareDecline);
     flow.share = std::clamp(flow.share, kMinShare, 1.0);
-    const double rate = ArrivalRate(zone, now);
+    const double rate = flow.arrivals.Rate(now);
     flow.allowance = std::min(flow.allowance + elapsed * flow.share * rate,
                               kMinBurst + kBurstSeconds * rate);
   }
--- a/servers/scheduling/zone_overflow.h
+++ b/servers/scheduling/zone_overflow.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "core/decaying_count.h"
 #include "core/monotonic_time.h"
 
 namespace papayakeel {
@@ -98,9 +99,11 @@
   void CountCrossing(const std::string& home);
 
  private:
+  // Time constant of the moving average of arrivals.
+  static constexpr time_span kRateTimeConstant = std::chrono::seconds(1);
+
   struct zone_flow {
-    double arrival_rate = 0;  // Moving average, per second.
-    monotonic_time updated_at;
+    decaying_count arrivals{kRateTimeConstant};
     std::optional<monotonic_time> first_arrival;
     // Attempts of this zone that run elsewhere, by zone, and the number of
     // attempts of other zones that run here.
