Skip the accounting of deferrals for endpoints without a limit

Each pass over the queue counted the busy slots of every endpoint once more, although only cold endpoints of services with a limit defer requests. Test groups warm_up_limit and slot_scheduler pass.

--- a/servers/scheduling/endpoint_slots.cc
+++ b/servers/scheduling/endpoint_slots.cc
@@ -124,8 +124,10 @@
 }
 
 bool endpoint_slots::CountDeferral(monotonic_time now) {
+  if (is_deferral_counted_ || !warm_up_.IsLimited(now))
+    return false;
   const int left = SlotsLeft(now);
-  if (is_deferral_counted_ || left == 0 || warm_up_.Allowed(left, now) > 0)
+  if (left == 0 || warm_up_.Allowed(left, now) > 0)
     return false;
   is_deferral_counted_ = true;
   return true;
--- a/servers/scheduling/warm_up_limit.cc
+++ b/servers/scheduling/warm_up_limit.cc
@@ -44,12 +44,12 @@
 void warm_up_limit::Take(monotonic_time now) {
   // An attempt that is adopted from another owner needs no token: that owner
   // has counted it.
-  if (has_rate() && IsCold(now))
+  if (IsLimited(now))
     bucket_.TryTake(1, now);
 }
 
 int warm_up_limit::Allowed(int slots, monotonic_time now) const {
-  if (!has_rate() || !IsCold(now))
+  if (!IsLimited(now))
     return slots;
   token_bucket accrued = bucket_;
   accrued.Accrue(now);
--- a/servers/scheduling/warm_up_limit.h
+++ b/servers/scheduling/warm_up_limit.h
@@ -30,6 +30,8 @@
   int Allowed(int slots, monotonic_time now) const;
   bool has_rate() const { return rate_ > 0; }
   bool IsCold(monotonic_time now) const { return now < end_; }
+  // Whether the limit applies now.
+  bool IsLimited(monotonic_time now) const { return has_rate() && IsCold(now); }
 
  private:
   double rate_ = 0;
