Keep the fleet size with readers and the first listing in one place each

state_feed and store_readers had a constant each for the size, and state_feed a flag beside that of the endpoint registry; both pairs had to agree.

--- a/modules/state_feed/state_feed.cc
+++ b/modules/state_feed/state_feed.cc
@@ -72,8 +72,6 @@
 // Short, because a change must be in force everywhere within 2 s: readers that
 // are cut off from the store, and their followers, must detect it in time.
 constexpr time_span kReaderWatchWait = std::chrono::milliseconds(600);
-// Fleets of this size have readers.
-constexpr std::size_t kMinRelayedFleetSize = 30;
 constexpr time_span kRelayTimeout = std::chrono::milliseconds(300);
 // An answer whose parts keep arriving is read on for up to this time. The store
 // has the newest state sooner than a relay that takes longer; a store that is
@@ -205,7 +203,7 @@
     is_listing_unconfirmed_ = false;
     // All pages come from one source: another may have read less.
     source_ = ChooseSource();
-    listing_kind_ = !has_listing_ && may_list_outdated_ && !IsFollowing()
+    listing_kind_ = !has_listing() && may_list_outdated_ && !IsFollowing()
                         ? listing_kind::kMayBeOutdated
                         : listing_kind::kCurrent;
   }
@@ -233,7 +231,7 @@
   // page and repeats changes made since then.
   if (!listing_position_) {
     listing_position_ = as_of;
-    if (has_listing_ && !Continues(as_of))
+    if (has_listing() && !Continues(as_of))
       OnStoreRestored(as_of);
   }
   listing_position_ = std::min(*listing_position_, as_of);
@@ -242,7 +240,7 @@
   const bool is_held_back = listing_kind_ == listing_kind::kMayBeOutdated;
   // The first listing takes effect as a whole: nothing may be served by a part
   // of it, and owners of shards need not sort their endpoints for each page.
-  if (has_listing_)
+  if (has_listing())
     ApplyListed(page->changes);
   if (page->has_more && !page->last_key.empty())
     return List(page->last_key);
@@ -251,7 +249,7 @@
     relay_confirmation_end_ = event_loop::Now() + kMaxConfirmationWait;
     position_ = *listing_position_;
   } else {
-    if (!has_listing_)
+    if (!has_listing())
       ApplyListed(listed_changes_);
     FinishListing();
     if (!IsFollowing())
@@ -305,16 +303,19 @@
   relay_->SetListing(listed_changes_, position_);
   UpdateRelay();
   listed_changes_.clear();
-  if (!has_listing_) {
+  if (!has_listing()) {
     Log(log_level::kInfo, "store_listed",
         {{"endpoints", std::to_string(endpoints_->size())},
          {"era", std::to_string(position_.era)},
          {"revision", std::to_string(position_.revision)}});
   }
-  has_listing_ = true;
   endpoints_->SetListed();
 }
 
+bool state_feed::has_listing() const {
+  return endpoints_->is_listed();
+}
+
 bool state_feed::HasJoined() const {
   const monotonic_time now = event_loop::Now();
   const std::size_t known = directory_->members().size();
@@ -449,7 +450,7 @@
         std::max(reappearance_deadline_, now + kReappearanceGracePeriod);
   relays_refuse_since_.reset();
   search_.OnAnswer(!IsFollowing());
-  const bool is_confirmation = has_listing_ || is_listing_unconfirmed_ ||
+  const bool is_confirmation = has_listing() || is_listing_unconfirmed_ ||
                                listing_kind_ == listing_kind::kCurrent;
   if (is_confirmation) {
     last_answer_ = now;
@@ -469,7 +470,7 @@
 }
 
 void state_feed::UpdateRelay() {
-  relay_->SetFresh(has_listing_ && search_.IsReading(event_loop::Now()) &&
+  relay_->SetFresh(has_listing() && search_.IsReading(event_loop::Now()) &&
                    search_.has_store() && failures_in_row_ == 0);
 }
 
@@ -517,7 +518,7 @@
       return Schedule(JitteredWait(kConfirmationRetryWait),
                       [this] { Watch(); });
     }
-    if (failure == relay_failure::kRefused && has_listing_) {
+    if (failure == relay_failure::kRefused && has_listing()) {
       if (!relays_refuse_since_)
         relays_refuse_since_ = now;
       last_away_at_ = now;
@@ -528,7 +529,7 @@
     const time_span wait = search_.OnRelayFailure(failure, now, retry_wait);
     return Schedule(wait, [this] {
       // A store that failed may have dropped changes since.
-      if (has_listing_ && !search_.IsWithoutSource())
+      if (has_listing() && !search_.IsWithoutSource())
         Watch();
       else
         List("");
@@ -555,7 +556,7 @@
       JitteredWait(kTurnedAwayWait));
   Schedule(wait, [this, is_reading] {
     // A reader first looks for a relay that has the state.
-    if (has_listing_ && is_reading && !search_.IsWithoutSource())
+    if (has_listing() && is_reading && !search_.IsWithoutSource())
       Watch();
     else
       List("");
@@ -598,7 +599,7 @@
     endpoints_->Put(read);
     const bool is_leaving = endpoints_->Find(entry->id)->is_leaving;
     // The first listing of a large fleet has too many for a line each.
-    const bool is_news = is_new ? has_listing_ : was_leaving != is_leaving;
+    const bool is_news = is_new ? has_listing() : was_leaving != is_leaving;
     if (is_news) {
       Log(log_level::kInfo, "endpoint_listed",
           {{"endpoint", entry->id},
@@ -729,7 +730,7 @@
 
 nlohmann::json state_feed::DumpState() const {
   nlohmann::json state = {
-      {"listed", has_listing_},
+      {"listed", has_listing()},
       {"duty", ToString(search_.duty())},
       {"reads_for_others", search_.IsReading(event_loop::Now())},
       {"era", position_.era},
--- a/modules/state_feed/state_feed.h
+++ b/modules/state_feed/state_feed.h
@@ -51,7 +51,7 @@
   nlohmann::json DumpState() const override;
 
   // True once a full listing has been read.
-  bool has_listing() const { return has_listing_; }
+  bool has_listing() const;
   // Time of the last answer that confirmed or changed the state.
   std::optional<monotonic_time> last_answer() const { return last_answer_; }
   // The store or the relay that gave the last answer.
@@ -159,7 +159,6 @@
   std::optional<boost::asio::steady_timer> evacuation_timer_;
 
   store_position position_;  // Last position that has been read.
-  bool has_listing_ = false;
   monotonic_time started_at_;
   monotonic_time members_changed_at_;
   bool has_joined_ = false;
@@ -185,7 +184,7 @@
   // False once an outdated listing turned out to be of no use.
   bool may_list_outdated_ = true;
   // A complete listing is held back until a watch has returned the changes that
-  // it may lack. Only before `has_listing_`.
+  // it may lack. Only before `has_listing()`.
   bool is_listing_unconfirmed_ = false;
   // Until this time relays are asked to complete the listing, then the store.
   monotonic_time relay_confirmation_end_;
--- a/servers/placement/store_readers.cc
+++ b/servers/placement/store_readers.cc
@@ -2,7 +2,6 @@
 #include "servers/placement/store_readers.h"
 
 #include <algorithm>
-#include <cstddef>
 #include <string_view>
 
 #include "servers/placement/duty_placement.h"
@@ -12,7 +11,6 @@
 namespace {
 
 constexpr std::string_view kDutyName = "store readers";
-constexpr std::size_t kMinRelayedFleetSize = 30;
 constexpr std::size_t kReaderCount = 3;
 // A store that turns away a third of the VMs, all readers among them, turns
 // away six others with a probability of 1 in 729. Each standby reader costs a
--- a/servers/placement/store_readers.h
+++ b/servers/placement/store_readers.h
@@ -5,6 +5,7 @@
 #ifndef SERVERS_PLACEMENT_STORE_READERS_H_
 #define SERVERS_PLACEMENT_STORE_READERS_H_
 
+#include <cstddef>
 #include <vector>
 
 #include "core/network_address.h"
@@ -12,6 +13,9 @@
 
 namespace papayakeel {
 
+// Fleets of at least this size have readers.
+constexpr std::size_t kMinRelayedFleetSize = 30;
+
 enum class store_duty {
   kAlone,     // The fleet is small: each VM reads for itself.
   kReader,    // Reads the store for others.
