--- a/modules/slot_link/slot_link.cc
+++ b/modules/slot_link/slot_link.cc
@@ -57,6 +57,18 @@
 // An endpoint answers a status check in 2 to 8 ms.
 constexpr time_span kProbeTimeout = std::chrono::milliseconds(80);
 
+// Returns `class=number` for each work class, separated by spaces.
+template <typename value_type, typename to_number>
+std::string FormatByClass(const std::map<std::string, value_type>& values,
+                          const to_number& convert) {
+  std::string text;
+  for (const auto& [work_class, value] : values) {
+    text += (text.empty() ? "" : " ") + work_class + "=" +
+            std::to_string(convert(value));
+  }
+  return text;
+}
+
 slot_message MakeMessage(slot_message_type type,
                          const service_shard& shard,
                          const request_key& key) {
@@ -582,16 +594,6 @@
     const slot_scheduler::summary sum = owned.scheduler->Summarize(now);
     if (sum.requests == 0)
       continue;
-    std::string work_text;
-    for (const auto& [work_class, usual_time] : sum.usual_work) {
-      work_text += (work_text.empty() ? "" : " ") + work_class + "=" +
-                   std::to_string(std::lround(ToMilliseconds(usual_time)));
-    }
-    std::string answer_text;
-    for (const auto& [work_class, bytes] : sum.answer_bytes) {
-      answer_text += (answer_text.empty() ? "" : " ") + work_class + "=" +
-                     std::to_string(bytes);
-    }
     Log(log_level::kInfo, "shard_state",
         {{"shard", shard.Name()},
          {"requests", std::to_string(sum.requests)},
@@ -609,8 +611,14 @@
          {"crowding", std::to_string(sum.contention_factor)},
          {"holding_ms",
           std::to_string(std::lround(ToMilliseconds(sum.mean_holding_time)))},
-         {"usual_work_ms", work_text},
-         {"answer_bytes", answer_text}});
+         {"usual_work_ms", FormatByClass(sum.usual_work,
+                                         [](time_span usual_time) {
+                                           return std::lround(
+                                               ToMilliseconds(usual_time));
+                                         })},
+         {"answer_bytes",
+          FormatByClass(sum.answer_bytes,
+                        [](std::uint64_t bytes) { return bytes; })}});
   }
 }
 
