Start the fleets of three process tests in one place

Each had the same loop that waits until all VMs know each other. The groups platform_cold_zone, platform_evacuation and platform_restore pass.

--- a/tests/platform/process/cold_zone_test.cc
+++ b/tests/platform/process/cold_zone_test.cc
@@ -52,16 +52,7 @@
       site.AddEndpoint(milliseconds(30), "a");
     for (std::size_t index = 0; index < kColdEndpoints; ++index)
       site.AddEndpoint(milliseconds(30), "b");
-    for (std::size_t vm = 0; vm < kVms; ++vm)
-      site.AddEntryVm();
-    CHECK(WaitUntil([&] {
-      for (std::size_t vm = 0; vm < kVms; ++vm) {
-        if (!site.IsReady(vm) || site.AddressesFrom(vm).size() != kVms)
-          return false;
-      }
-      return true;
-    }));
-    std::this_thread::sleep_for(seconds(1));
+    CHECK(site.AddEntryVms(kVms));
   }
 
   void teardown() override {
--- a/tests/platform/process/platform_stand_in.cc
+++ b/tests/platform/process/platform_stand_in.cc
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 
 #include "tests/process/support/test_client.h"
+#include "tests/process/support/test_fleet.h"
 
 namespace papayakeel::platform {
 
@@ -440,6 +441,21 @@
       vm.settings_path + ".err");
 }
 
+bool platform_stand_in::AddEntryVms(std::size_t count) {
+  for (std::size_t vm = 0; vm < count; ++vm)
+    AddEntryVm();
+  const bool are_ready = WaitUntil([&] {
+    for (std::size_t vm = 0; vm < count; ++vm) {
+      if (!IsReady(vm) || AddressesFrom(vm).size() != count)
+        return false;
+    }
+    return true;
+  });
+  // New processes watch the store once they know the others.
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  return are_ready;
+}
+
 void platform_stand_in::RestartEntryVm(std::size_t index) {
   stand_in_vm& vm = vms_.at(index);
   vm.process->Kill();
--- a/tests/platform/process/platform_stand_in.h
+++ b/tests/platform/process/platform_stand_in.h
@@ -106,6 +106,9 @@
   // Starts an entry VM at an address of its own. Its log goes to a file, or to
   // `log_path` when that is given.
   std::size_t AddEntryVm(const std::string& log_path = "");
+  // Adds `count` VMs and waits until each is ready and knows the others.
+  // Returns false if that takes too long.
+  bool AddEntryVms(std::size_t count);
   // Ends the VM's process, if it still runs, and starts it anew.
   void RestartEntryVm(std::size_t index);
   // The memory limit of VMs that are added later, in MB.
--- a/tests/platform/process/restored_store_test.cc
+++ b/tests/platform/process/restored_store_test.cc
@@ -34,17 +34,7 @@
   std::atomic<int> next_id{0};
 
   void StartVms() {
-    for (std::size_t vm = 0; vm < kVms; ++vm)
-      site.AddEntryVm();
-    CHECK(WaitUntil([&] {
-      for (std::size_t vm = 0; vm < kVms; ++vm) {
-        if (!site.IsReady(vm) || site.AddressesFrom(vm).size() != kVms)
-          return false;
-      }
-      return true;
-    }));
-    // New processes watch the store once they know the others.
-    std::this_thread::sleep_for(seconds(1));
+    CHECK(site.AddEntryVms(kVms));
   }
 
   int StatusOf(std::size_t vm, const std::string& target) {
--- a/tests/platform/process/zone_evacuation_test.cc
+++ b/tests/platform/process/zone_evacuation_test.cc
@@ -46,17 +46,7 @@
       for (std::size_t index = 0; index < kEndpointsPerZone; ++index)
         site.AddEndpoint(kWork, zone);
     }
-    for (std::size_t vm = 0; vm < kVms; ++vm)
-      site.AddEntryVm();
-    CHECK(WaitUntil([&] {
-      for (std::size_t vm = 0; vm < kVms; ++vm) {
-        if (!site.IsReady(vm) || site.AddressesFrom(vm).size() != kVms)
-          return false;
-      }
-      return true;
-    }));
-    // New processes watch the store once they know the others.
-    std::this_thread::sleep_for(seconds(1));
+    CHECK(site.AddEntryVms(kVms));
   }
 
   void teardown() override {
